world: add regions and client blocks

Cause: the catalogue names the regions, their order of preference and the client addresses of each. Change: RegionInfo and ClientBlocks in the root package.

--- a/world.go
+++ b/world.go
@@ -1,6 +1,23 @@
 package cardamompass
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
+
+// RegionInfo is a region of the catalogue.
+type RegionInfo struct {
+	Name           Region
+	FailureDomains []FailureDomain
+	// Near lists the other regions that may serve this region's callers, the preferred one first.
+	Near []Region
+}
+
+// ClientBlocks assigns blocks of client addresses to a region.
+type ClientBlocks struct {
+	Region   Region
+	Prefixes []netip.Prefix
+}
 
 // Class is the class of a service. Each class has queues, connections, slots and link shares of its own, so that short
 // requests do not wait behind long ones.
