--- /dev/null
+++ b/internal/obs/logkv/logkv.go
@@ -0,0 +1,86 @@
+// Package logkv makes the loggers of the processes: one line of key=value pairs for each event.
+//
+// Repeated lines are limited: of the lines with the same level and message, the first RepeatsPerSecond of each second
+// are written and the others are counted, so that a storm of failures can't fill the log.
+package logkv
+
+import (
+	"io"
+	"sync/atomic"
+	"time"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// DefaultRepeatsPerSecond is the limit of equal lines a second where the configuration gives none.
+const DefaultRepeatsPerSecond = 20
+
+// Config configures a logger.
+type Config struct {
+	// Writer receives the lines. Writes are serialized.
+	Writer io.Writer
+	// Level is the lowest level written: "debug", "info", "warn" or "error". Empty means "info".
+	Level string
+	// RepeatsPerSecond is the number of lines with the same level and message that are written in a second; 0 means
+	// DefaultRepeatsPerSecond.
+	RepeatsPerSecond int
+	// Process is the value of the key "process" in each line, for example the VM's id. Empty leaves the key out.
+	Process string
+}
+
+// Logger is a zap logger together with the count of the lines that the limit left out.
+type Logger struct {
+	*zap.Logger
+	dropped *atomic.Int64
+}
+
+// Dropped returns the number of lines left out since the start.
+func (lgr *Logger) Dropped() int64 { return lgr.dropped.Load() }
+
+// New returns a logger and the function that flushes it.
+func New(cfg Config) (lgr *Logger, cleanup func(), err error) {
+	defer func() { err = errors.Wrap(err, "make logger") }()
+	level := zapcore.InfoLevel
+	if cfg.Level != "" {
+		if level, err = zapcore.ParseLevel(cfg.Level); err != nil {
+			return nil, nil, err
+		}
+	}
+	repeats := cfg.RepeatsPerSecond
+	if repeats == 0 {
+		repeats = DefaultRepeatsPerSecond
+	}
+	dropped := &atomic.Int64{}
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoderConfig()), zapcore.Lock(zapcore.AddSync(cfg.Writer)), level)
+	core = zapcore.NewSamplerWithOptions(core, time.Second, repeats, 0,
+		zapcore.SamplerHook(func(_ zapcore.Entry, dec zapcore.SamplingDecision) {
+			if dec&zapcore.LogDropped != 0 {
+				dropped.Add(1)
+			}
+		}))
+	zlg := zap.New(core)
+	if cfg.Process != "" {
+		zlg = zlg.With(zap.String("process", cfg.Process))
+	}
+	lgr = &Logger{
+		Logger:  zlg,
+		dropped: dropped,
+	}
+	return lgr, func() { _ = zlg.Sync() }, nil
+}
+
+func encoderConfig() zapcore.EncoderConfig {
+	return zapcore.EncoderConfig{
+		MessageKey:     "event",
+		LevelKey:       "level",
+		TimeKey:        "time",
+		NameKey:        "area",
+		LineEnding:     zapcore.DefaultLineEnding,
+		EncodeLevel:    zapcore.LowercaseLevelEncoder,
+		EncodeTime:     zapcore.RFC3339NanoTimeEncoder,
+		EncodeDuration: zapcore.StringDurationEncoder,
+	}
+}
--- /dev/null
+++ b/internal/obs/logkv/logkv_test.go
@@ -0,0 +1,49 @@
+package logkv_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"cardamompass/internal/obs/logkv"
+)
+
+// Guards against a storm of equal events that fills the log, and against losing the count of what was left out.
+func TestRepeatedLinesAreLimited(t *testing.T) {
+	var buf bytes.Buffer
+	lgr, cleanup, err := logkv.New(logkv.Config{
+		Writer:           &buf,
+		RepeatsPerSecond: 2,
+		Process:          "vm-1",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	const events = 1000
+	for range events {
+		lgr.Warn("probe failed", zap.String("target", "t-1"))
+	}
+	cleanup()
+	lines := strings.Count(buf.String(), "\n")
+	if int64(lines)+lgr.Dropped() != events {
+		t.Fatalf("%d lines written and %d counted as left out, want %d together", lines, lgr.Dropped(), events)
+	}
+	if lgr.Dropped() == 0 {
+		t.Fatal("no line was left out")
+	}
+	first, _, _ := strings.Cut(buf.String(), "\n")
+	for _, want := range []string{"level=warn", `event="probe failed"`, "target=t-1", "process=vm-1"} {
+		if !strings.Contains(first, want) {
+			t.Errorf("line %q lacks %q", first, want)
+		}
+	}
+}
+
+// Guards against a misspelt level that silently logs nothing or everything.
+func TestUnknownLevelIsRefused(t *testing.T) {
+	if _, _, err := logkv.New(logkv.Config{Writer: &bytes.Buffer{}, Level: "loud"}); err == nil {
+		t.Fatal("level was accepted")
+	}
+}
--- /dev/null
+++ b/internal/obs/metric/metric.go
@@ -0,0 +1,65 @@
+// Package metric makes the tally scope of a process and the page from which its metrics are scraped.
+package metric
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is the time between two transfers of counters from tally to the scrape page.
+const reportInterval = time.Second
+
+// Config configures the metrics of a process.
+type Config struct {
+	// Tags are added to every metric, for example the VM's id and region.
+	Tags map[string]string
+}
+
+// Metrics is the scope of a process and its scrape page. It is safe for concurrent use.
+type Metrics struct {
+	scope tally.Scope
+	page  http.Handler
+}
+
+// New returns the metrics of a process and the function that stops their reporting.
+func New(cfg Config) (mtr *Metrics, cleanup func(), err error) {
+	defer func() { err = errors.Wrap(err, "make metrics") }()
+	rep, err := prometheus.Configuration{
+		OnError:   "none",
+		TimerType: "histogram",
+	}.NewReporter(prometheus.ConfigurationOptions{})
+	if err != nil {
+		return nil, nil, err
+	}
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "cardamompass",
+		Tags:           cfg.Tags,
+		CachedReporter: rep,
+		Separator:      prometheus.DefaultSeparator,
+	}, reportInterval)
+	mtr = &Metrics{
+		scope: scope,
+		page:  rep.HTTPHandler(),
+	}
+	return mtr, func() { _ = closer.Close() }, nil
+}
+
+// Scope returns the root scope.
+func (mtr *Metrics) Scope() tally.Scope { return mtr.scope }
+
+// Page returns the handler of the scrape page.
+func (mtr *Metrics) Page() http.Handler { return mtr.page }
+
+// LatencyBuckets are the bounds of latency histograms, from 0.25 ms to about 33 s.
+func LatencyBuckets() tally.Buckets {
+	const (
+		start  = 250 * time.Microsecond
+		factor = 2
+		count  = 18
+	)
+	return tally.MustMakeExponentialDurationBuckets(start, factor, count)
+}
