share: divide caps through a ledger in the store and loans between VMs

Cause: a cap divided by each VM's own view of the fleet is exceeded when views differ; one store call for each request is beyond the store's rates. Change: a ledger for each capped resource, written by compare-and-swap and bound to store leases that each owner judges by its own clock; loans that end earlier for the borrower than for the lender; a restarted process takes over from its predecessor on the same VM; token buckets for rates, a count for slots. Ruled out: one divider VM, which stops with that VM; a counter in the store, one call for each request.

--- /dev/null
+++ b/internal/fleet/share/ledger.go
@@ -0,0 +1,207 @@
+package share
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"cardamompass"
+)
+
+// Owner is one incarnation of an entry VM as it appears in a ledger.
+type Owner struct {
+	VM          cardamompass.VMID        `json:"vm"`
+	Incarnation cardamompass.Incarnation `json:"incarnation"`
+	// Boot identifies the run of the VM's operating system. A process that has bound the peer address of its predecessor
+	// under the same boot knows that the predecessor is gone.
+	Boot string `json:"boot,omitempty"`
+	// Lease is the store lease that the ownership is bound to.
+	Lease cardamompass.LeaseID `json:"lease"`
+}
+
+func (own Owner) same(oth Owner) bool { return own.VM == oth.VM && own.Incarnation == oth.Incarnation }
+
+// succeeds reports whether own runs where oth certainly runs no more.
+func (own Owner) succeeds(oth Owner) bool {
+	return own.VM == oth.VM && own.Boot != "" && own.Boot == oth.Boot && own.Incarnation > oth.Incarnation
+}
+
+// Entry is the ownership of units by one incarnation.
+type Entry struct {
+	Owner
+	Units int64 `json:"units"`
+}
+
+// Ledger is the division of one resource. It is immutable. The sum of its units never exceeds its capacity.
+type Ledger struct {
+	// Capacity is the cap that the units are parts of.
+	Capacity int64 `json:"capacity"`
+	// CatalogueVersion is the version of the catalogue from which Capacity was taken.
+	CatalogueVersion int64 `json:"catalogue-version"`
+	// Entries are in the order of VM and incarnation.
+	Entries []Entry `json:"entries"`
+}
+
+// ParseLedger returns the ledger that data holds. Empty data is an empty ledger.
+func ParseLedger(data []byte) (led Ledger, err error) {
+	defer func() { err = errors.Wrap(err, "parse ledger") }()
+	if len(data) == 0 {
+		return Ledger{}, nil
+	}
+	if err := json.Unmarshal(data, &led); err != nil {
+		return Ledger{}, err
+	}
+	for _, ent := range led.Entries {
+		if ent.Units < 0 {
+			return Ledger{}, &cardamompass.InvalidError{
+				Field:  string(ent.VM),
+				Reason: "owns a negative number of units",
+			}
+		}
+	}
+	if led.Sum() > led.Capacity {
+		return Ledger{}, &cardamompass.InvalidError{
+			Field:  "entries",
+			Reason: "own more units than the capacity",
+		}
+	}
+	return led, nil
+}
+
+// Marshal returns the stored form.
+func (led Ledger) Marshal() (data []byte, err error) { return json.Marshal(led) }
+
+// Sum returns the units that are owned.
+func (led Ledger) Sum() (sum int64) {
+	for _, ent := range led.Entries {
+		sum += ent.Units
+	}
+	return sum
+}
+
+// Units returns the units that own has.
+func (led Ledger) Units(own Owner) int64 {
+	for _, ent := range led.Entries {
+		if ent.same(own) {
+			return ent.Units
+		}
+	}
+	return 0
+}
+
+// WithEntry returns a copy in which ent replaces the entry of the same owner.
+func (led Ledger) WithEntry(ent Entry) Ledger {
+	led = led.without(func(old Entry) bool { return old.same(ent.Owner) })
+	led.Entries = append(led.Entries, ent)
+	slices.SortFunc(led.Entries, func(one, two Entry) int {
+		if ord := strings.Compare(string(one.VM), string(two.VM)); ord != 0 {
+			return ord
+		}
+		if one.Incarnation < two.Incarnation {
+			return -1
+		}
+		return 1
+	})
+	return led
+}
+
+// WithoutOwner returns a copy in which own has no entry.
+func (led Ledger) WithoutOwner(own Owner) Ledger {
+	return led.without(func(ent Entry) bool { return ent.same(own) })
+}
+
+func (led Ledger) without(drop func(Entry) bool) Ledger {
+	led.Entries = slices.DeleteFunc(slices.Clone(led.Entries), drop)
+	return led
+}
+
+// Visit is what an incarnation knows when it looks at a ledger.
+type Visit struct {
+	Owner    Owner
+	Resource Resource
+	// CatalogueVersion is the version of the catalogue that Resource was taken from.
+	CatalogueVersion int64
+	// Held is the number of units that the visitor holds itself to own. It is below the ledger's figure after a write whose
+	// answer was lost, and after the store was restored to an older state. The smaller figure counts.
+	Held int64
+	// Floor is the number of own units that can't be given up now: they are in use or lent.
+	Floor int64
+	// Succeeds is set when loans that a predecessor of the visitor on the same VM made have certainly ended. Its entry can
+	// be taken then.
+	Succeeds bool
+	// Gone reports whether the lease of an entry has lapsed and its incarnation is certainly not in use any more.
+	Gone func(Entry) bool
+}
+
+// Plan returns the ledger that the visitor wants: without the entries of gone owners, with the capacity in force if the
+// visitor knows a catalogue that is at least as new as the ledger's, and with the visitor's units moved towards an equal
+// part. Only the visitor's own units and those of gone owners change.
+func (led Ledger) Plan(vis Visit) (next Ledger) {
+	next = led.without(func(ent Entry) bool {
+		return !ent.same(vis.Owner) && (vis.Succeeds && vis.Owner.succeeds(ent.Owner) || vis.Gone(ent))
+	})
+	capacity := next.Capacity
+	if vis.CatalogueVersion >= next.CatalogueVersion {
+		capacity = vis.Resource.Capacity
+	}
+	mine := min(next.Units(vis.Owner), vis.Held)
+	others := next.WithoutOwner(vis.Owner).Sum()
+	part := equalPart(next, vis, capacity)
+	units := mine
+	switch {
+	case mine > part && (others+mine > capacity || next.starved(vis.Owner, part)):
+		units = max(part, min(vis.Floor, mine))
+	case mine < part:
+		units += min(part-mine, max(0, capacity-others-mine))
+	}
+	if units < vis.Resource.minUnits() && units != mine {
+		units = min(mine, vis.Floor)
+	}
+	next = next.WithEntry(Entry{
+		Owner: vis.Owner,
+		Units: units,
+	})
+	// A lower capacity is written only when the units fit into it; until then owners scale their units down.
+	if next.Sum() <= capacity && vis.CatalogueVersion >= led.CatalogueVersion {
+		next.Capacity = capacity
+		next.CatalogueVersion = vis.CatalogueVersion
+	}
+	return next
+}
+
+// starved reports whether another owner has less than half of an equal part. Owners lower their entries only then, so that
+// small changes in the number of owners cause no writes.
+func (led Ledger) starved(own Owner, part int64) bool {
+	return slices.ContainsFunc(led.Entries, func(ent Entry) bool {
+		return !ent.same(own) && ent.Units < part/2
+	})
+}
+
+// uneven reports whether an owner has less than half of an equal part.
+func (led Ledger) uneven() bool {
+	part := led.Capacity / max(1, int64(len(led.Entries)))
+	return part >= minRateUnits && led.starved(Owner{}, part)
+}
+
+// equalPart returns the visitor's part of the capacity among the present owners. The remainder of the division goes to
+// the first owners in the order of the ledger.
+func equalPart(led Ledger, vis Visit, capacity int64) int64 {
+	withSelf := led.WithEntry(Entry{
+		Owner: vis.Owner,
+	})
+	count := int64(len(withSelf.Entries))
+	pos := int64(slices.IndexFunc(withSelf.Entries, func(ent Entry) bool { return ent.same(vis.Owner) }))
+	part := capacity / count
+	if pos < capacity%count {
+		part++
+	}
+	return max(part, min(vis.Resource.minUnits(), capacity))
+}
+
+// Equal reports whether two ledgers hold the same division.
+func (led Ledger) Equal(oth Ledger) bool {
+	return led.Capacity == oth.Capacity && led.CatalogueVersion == oth.CatalogueVersion &&
+		slices.Equal(led.Entries, oth.Entries)
+}
--- /dev/null
+++ b/internal/fleet/share/service.go
@@ -0,0 +1,253 @@
+package share
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cardamompass"
+)
+
+// ServiceName is the name under which a Service is registered with the peer server.
+const ServiceName = "Share"
+
+// BorrowArgs asks a VM for the loan of units.
+type BorrowArgs struct {
+	Resource    string
+	VM          cardamompass.VMID
+	Incarnation cardamompass.Incarnation
+	// Sequence grows with each call of the borrower.
+	Sequence uint64
+	// Want is the number of units that the borrower wants to have from this lender altogether.
+	Want int64
+}
+
+// BorrowReply grants a loan in place of the borrower's earlier ones from this lender.
+type BorrowReply struct {
+	Units int64
+	// TTL is the time of the loan, counted by the borrower from the sending of its request.
+	TTL time.Duration
+	// Capacity is the cap that the units are parts of.
+	Capacity int64
+}
+
+// ReturnArgs says that the borrower uses no unit of the grants with a smaller sequence any more.
+type ReturnArgs struct {
+	Resource    string
+	VM          cardamompass.VMID
+	Incarnation cardamompass.Incarnation
+	Sequence    uint64
+}
+
+// ReturnReply is empty.
+type ReturnReply struct{}
+
+// Service answers the loan messages of other entry VMs. Its methods have the form that net/rpc wants.
+type Service struct {
+	pol *Pool
+}
+
+// Service returns the service to register with the peer server.
+func (pol *Pool) Service() *Service {
+	return &Service{
+		pol: pol,
+	}
+}
+
+// Borrow answers a request for a loan. The units are deducted before the answer leaves.
+func (svc *Service) Borrow(args *BorrowArgs, reply *BorrowReply) (err error) {
+	pol := svc.pol
+	cel := pol.cell(args.Resource)
+	if cel == nil || pol.leaving.Load() {
+		return nil
+	}
+	pty := party{
+		vm:          args.VM,
+		incarnation: args.Incarnation,
+	}
+	now := pol.cfg.Clock.Now()
+	cel.mtx.Lock()
+	defer cel.mtx.Unlock()
+	ends := lenderEnd(now, pol.cfg.LoanTTL, cel.res.Linger)
+	if !ends.Before(pol.leaseEnds()) {
+		return nil
+	}
+	units := cel.answerBorrow(pty, args.Want, now, pol.leaseEnds())
+	reply.Units = units
+	reply.TTL = pol.cfg.LoanTTL
+	reply.Capacity = cel.res.Capacity
+	if units > 0 {
+		cel.lent.grant(pty, lending{
+			sequence: args.Sequence,
+			units:    units,
+			ends:     ends,
+		}, now)
+	}
+	return nil
+}
+
+// Return ends loans before their time.
+func (svc *Service) Return(args *ReturnArgs, _ *ReturnReply) (err error) {
+	cel := svc.pol.cell(args.Resource)
+	if cel == nil {
+		return nil
+	}
+	cel.mtx.Lock()
+	defer cel.mtx.Unlock()
+	cel.lent.giveBack(party{
+		vm:          args.VM,
+		incarnation: args.Incarnation,
+	}, args.Sequence, svc.pol.cfg.Clock.Now())
+	return nil
+}
+
+// runLoans borrows while there is demand, renews loans and returns those that are not needed.
+func (pol *Pool) runLoans(ctx context.Context) {
+	for pol.pause(ctx, borrowInterval) == nil {
+		pol.BorrowRound(ctx)
+	}
+}
+
+// BorrowRound does one round of loans for all resources and waits for its calls.
+func (pol *Pool) BorrowRound(ctx context.Context) {
+	if pol.leaving.Load() {
+		return
+	}
+	var peers []cardamompass.VM
+	for _, mbr := range pol.cfg.Members.Members() {
+		if mbr.State == cardamompass.StateAlive && mbr.VM.ID != pol.cfg.Owner.VM {
+			peers = append(peers, mbr.VM)
+		}
+	}
+	for num := len(peers) - 1; num > 0; num-- {
+		oth := pol.cfg.Random(int64(num + 1))
+		peers[num], peers[oth] = peers[oth], peers[num]
+	}
+	var wtg sync.WaitGroup
+	for _, name := range pol.names() {
+		cel := pol.cell(name)
+		for _, ask := range pol.asks(cel, peers) {
+			wtg.Go(func() { pol.borrow(ctx, name, cel, ask) })
+		}
+	}
+	wtg.Wait()
+}
+
+// ask is one request for a loan, or a return when want is 0.
+type ask struct {
+	peer cardamompass.VM
+	want int64
+}
+
+// asks decides whom to ask for what: lenders whose loans run out soon, and a few others when units are lacking.
+func (pol *Pool) asks(cel *cell, peers []cardamompass.VM) (asks []ask) {
+	now := pol.cfg.Clock.Now()
+	cel.mtx.Lock()
+	defer cel.mtx.Unlock()
+	cel.borrowed.forget(now)
+	wants := cel.wants(now, pol.leaseEnds())
+	if cel.res.Kind == KindSlots {
+		// Counted anew until the next round.
+		cel.missed = 0
+	}
+	lacking := wants - cel.usable(now, pol.leaseEnds())
+	others := 0
+	for _, peer := range peers {
+		pty := party{
+			vm:          peer.ID,
+			incarnation: peer.Incarnation,
+		}
+		brw, ok := cel.borrowed[pty]
+		switch {
+		case ok && cel.idle(now, pol.leaseEnds()):
+			asks = append(asks, ask{
+				peer: peer,
+			})
+		case ok && (lacking > 0 || brw.ends.Sub(now) < pol.cfg.LoanTTL/2 && cel.needed(now, pol.leaseEnds())):
+			asks = append(asks, ask{
+				peer: peer,
+				want: brw.units + max(0, lacking),
+			})
+		case !ok && lacking > 0 && others < borrowPeers:
+			others++
+			asks = append(asks, ask{
+				peer: peer,
+				want: max(lacking, cel.res.minUnits()),
+			})
+		}
+	}
+	return asks
+}
+
+// needed reports whether more than the own units is in use.
+func (cel *cell) needed(now, leaseEnds time.Time) bool {
+	if cel.res.Kind == KindSlots {
+		return cel.inUse >= cel.own(now, leaseEnds)
+	}
+	return cel.use.perSecond(now)*100/usedPercent >= cel.own(now, leaseEnds)
+}
+
+// idle reports whether borrowed slots are certainly not in use, so that they can be given back at once.
+func (cel *cell) idle(now, leaseEnds time.Time) bool {
+	return cel.res.Kind == KindSlots && !cel.short(now) && cel.inUse*2 < cel.own(now, leaseEnds)
+}
+
+func (pol *Pool) borrow(ctx context.Context, name string, cel *cell, ask ask) {
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	pty := party{
+		vm:          ask.peer.ID,
+		incarnation: ask.peer.Incarnation,
+	}
+	sequence := pol.sequence.Add(1)
+	if ask.want == 0 {
+		pol.giveBack(ctx, name, cel, ask.peer, sequence)
+		return
+	}
+	sent := pol.cfg.Clock.Now()
+	var reply BorrowReply
+	err := pol.cfg.Peers.Call(ctx, ask.peer.PeerAddress, ServiceName+".Borrow", &BorrowArgs{
+		Resource:    name,
+		VM:          pol.cfg.Owner.VM,
+		Incarnation: pol.cfg.Owner.Incarnation,
+		Sequence:    sequence,
+		Want:        ask.want,
+	}, &reply)
+	if err != nil {
+		pol.cfg.Log.Debug("loan not answered", zap.String("resource", name), zap.String("peer", string(pty.vm)), zap.Error(err))
+		return
+	}
+	cel.mtx.Lock()
+	defer cel.mtx.Unlock()
+	if reply.Units <= 0 {
+		delete(cel.borrowed, pty)
+		return
+	}
+	cel.borrowed[pty] = borrowing{
+		units:    reply.Units,
+		ends:     sent.Add(reply.TTL),
+		capacity: reply.Capacity,
+	}
+}
+
+// giveBack stops the use of a loan and then tells the lender.
+func (pol *Pool) giveBack(ctx context.Context, name string, cel *cell, peer cardamompass.VM, sequence uint64) {
+	cel.mtx.Lock()
+	delete(cel.borrowed, party{
+		vm:          peer.ID,
+		incarnation: peer.Incarnation,
+	})
+	stillUsed := cel.inUse > cel.own(pol.cfg.Clock.Now(), pol.leaseEnds())
+	cel.mtx.Unlock()
+	if stillUsed {
+		return
+	}
+	_ = pol.cfg.Peers.Call(ctx, peer.PeerAddress, ServiceName+".Return", &ReturnArgs{
+		Resource:    name,
+		VM:          pol.cfg.Owner.VM,
+		Incarnation: pol.cfg.Owner.Incarnation,
+		Sequence:    sequence,
+	}, &ReturnReply{})
+}
--- /dev/null
+++ b/internal/fleet/share/visit.go
@@ -0,0 +1,199 @@
+package share
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"cardamompass"
+)
+
+func (pol *Pool) key(name string) string { return pol.cfg.KeyPrefix + name }
+
+// visitLedger moves this incarnation's units of one resource towards an equal part.
+func (pol *Pool) visitLedger(ctx context.Context, name string) (err error) {
+	defer func() { err = errors.Wrap(err, "visit ledger") }()
+	for range visitTries {
+		done, err := pol.tryVisit(ctx, name)
+		if done || err != nil {
+			return err
+		}
+		// Visitors that lost a race come back at different times.
+		if err := pol.pause(ctx, time.Duration(pol.cfg.Random(int64(20*time.Millisecond)))); err != nil {
+			return err
+		}
+	}
+	return errors.New("lost the compare-and-swap too often")
+}
+
+// readLedger returns the ledger of a resource and its revision, 0 if there is none yet.
+func (pol *Pool) readLedger(ctx context.Context, name string) (led Ledger, revision int64, err error) {
+	val, err := pol.cfg.Store.Get(ctx, pol.key(name))
+	var nfd *cardamompass.NotFoundError
+	if errors.As(err, &nfd) {
+		return Ledger{}, 0, nil
+	}
+	if err != nil {
+		return Ledger{}, 0, err
+	}
+	led, err = ParseLedger(val.Data)
+	return led, val.Revision, err
+}
+
+func (pol *Pool) tryVisit(ctx context.Context, name string) (done bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	led, revision, err := pol.readLedger(ctx, name)
+	if err != nil {
+		return false, err
+	}
+	gone, err := pol.goneOwners(ctx, led)
+	if err != nil {
+		return false, err
+	}
+	cel := pol.cell(name)
+	next, force := pol.plan(cel, led, revision, gone)
+	if next.Equal(led) && !force {
+		cel.confirm(next.Units(pol.owner()), next.Capacity)
+		return true, nil
+	}
+	data, err := next.Marshal()
+	if err != nil {
+		return false, err
+	}
+	_, err = pol.cfg.Store.Put(ctx, pol.key(name), data, revision)
+	return pol.settle(cel, next, revision, err)
+}
+
+// plan decides on the next ledger. Units that it gives up are not used from here on, before the write that gives them to
+// others is sent.
+func (pol *Pool) plan(cel *cell, led Ledger, revision int64, gone map[Owner]bool) (next Ledger, force bool) {
+	now := pol.cfg.Clock.Now()
+	own := pol.owner()
+	pol.mtx.Lock()
+	version := pol.version
+	pol.mtx.Unlock()
+	cel.mtx.Lock()
+	defer cel.mtx.Unlock()
+	if cel.doubt && revision != cel.doubtRevision {
+		// A compare-and-swap at an earlier revision can't take effect any more.
+		cel.doubt = false
+	}
+	floor := cel.lent.total(now)
+	if cel.res.Kind == KindSlots {
+		floor += cel.inUse
+	}
+	next = led.Plan(Visit{
+		Owner:            own,
+		Succeeds:         now.Sub(pol.started) > lenderEnd(now, pol.cfg.LoanTTL, cel.res.Linger).Sub(now),
+		Resource:         cel.res,
+		CatalogueVersion: version,
+		Held:             cel.units,
+		Floor:            floor,
+		Gone:             func(ent Entry) bool { return gone[ent.Owner] },
+	})
+	cel.units = min(cel.units, next.Units(own))
+	if next.uneven() {
+		pol.uneven.Store(true)
+	}
+	return next, cel.doubt
+}
+
+// settle applies the result of the write of next at revision.
+func (pol *Pool) settle(cel *cell, next Ledger, revision int64, werr error) (done bool, err error) {
+	var cfl *cardamompass.ConflictError
+	var unk *cardamompass.WriteUnknownError
+	switch {
+	case werr == nil:
+		cel.confirm(next.Units(pol.owner()), next.Capacity)
+		return true, nil
+	case errors.As(werr, &cfl):
+		return false, nil
+	case errors.As(werr, &unk):
+		cel.mtx.Lock()
+		defer cel.mtx.Unlock()
+		cel.doubt = true
+		cel.doubtRevision = revision
+		return false, nil
+	default:
+		return false, werr
+	}
+}
+
+// confirm records the units that the ledger gives to this incarnation.
+func (cel *cell) confirm(units, capacity int64) {
+	cel.mtx.Lock()
+	defer cel.mtx.Unlock()
+	cel.units = units
+	cel.basis = capacity
+	cel.doubt = false
+}
+
+// goneOwners returns the owners whose units can be taken: the membership does not hold them for serving, and the store says that
+// their lease has lapsed. Silence alone is no reason.
+func (pol *Pool) goneOwners(ctx context.Context, led Ledger) (gone map[Owner]bool, err error) {
+	serving := make(map[party]bool)
+	for _, mbr := range pol.cfg.Members.Members() {
+		if mbr.Serving() {
+			serving[party{vm: mbr.VM.ID, incarnation: mbr.VM.Incarnation}] = true
+		}
+	}
+	gone = make(map[Owner]bool)
+	for _, ent := range led.Entries {
+		if ent.same(pol.cfg.Owner) || serving[party{vm: ent.VM, incarnation: ent.Incarnation}] {
+			continue
+		}
+		_, err := pol.cfg.Store.Inspect(ctx, ent.Lease)
+		var nfd *cardamompass.NotFoundError
+		switch {
+		case errors.As(err, &nfd):
+			gone[ent.Owner] = true
+		case err != nil:
+			return nil, err
+		}
+	}
+	return gone, nil
+}
+
+// releaseLedger takes this incarnation's entry out of one ledger, or lowers it to what is still lent or in use.
+func (pol *Pool) releaseLedger(ctx context.Context, name string) (kept bool, err error) {
+	cel := pol.cell(name)
+	for range visitTries {
+		led, revision, err := pol.readLedger(ctx, name)
+		if err != nil {
+			return true, err
+		}
+		own := pol.owner()
+		if led.Units(own) == 0 && led.WithoutOwner(own).Equal(led) {
+			return false, nil
+		}
+		cel.mtx.Lock()
+		left := min(cel.units, cel.lent.total(pol.cfg.Clock.Now())+cel.inUse)
+		cel.units = left
+		cel.mtx.Unlock()
+		next := led.WithoutOwner(own)
+		if left > 0 {
+			next = next.WithEntry(Entry{
+				Owner: own,
+				Units: left,
+			})
+		}
+		data, err := next.Marshal()
+		if err != nil {
+			return true, err
+		}
+		_, err = pol.cfg.Store.Put(ctx, pol.key(name), data, revision)
+		if err == nil {
+			pol.cfg.Log.Info("units released", zap.String("resource", name), zap.Int64("kept", left))
+			return left > 0, nil
+		}
+		var cfl *cardamompass.ConflictError
+		var unk *cardamompass.WriteUnknownError
+		if !errors.As(err, &cfl) && !errors.As(err, &unk) {
+			return true, err
+		}
+	}
+	return true, errors.New("lost the compare-and-swap too often")
+}
