share: test the lost and the late answer of a write that gives units away

Cause: removing the line that stops the use of units before they are written away did not fail the simulated fleets, since the next read repaired it within the same visit. Change: a test that cuts the store right after the faulty write. Measured: without that line the new test fails, with it the test passes.

--- a/internal/fleet/share/share_test.go
+++ b/internal/fleet/share/share_test.go
@@ -270,3 +270,39 @@
 	))
 	props.TestingRun(t)
 }
+
+// Guards against an owner that goes on using units which its own write, with a lost or late answer, has given away.
+func TestLostAnswerOfLowering(t *testing.T) {
+	const (
+		tookEffect = 0
+		comesLate  = 1
+		clean      = 11
+	)
+	for _, kind := range []int{tookEffect, comesLate} {
+		wld := newWorld(*seed, 2)
+		one, two := wld.vms[0], wld.vms[1]
+		visit := func(who *vm, fault int) {
+			// The store is out of reach after the faulty write, so that its outcome can't be read back.
+			wld.putFault = func() int {
+				wld.down = true
+				return fault
+			}
+			who.pol.Visit(context.Background())
+			wld.down = false
+		}
+		settle := func(who *vm) {
+			wld.putFault = func() int { return clean }
+			who.pol.Visit(context.Background())
+		}
+		settle(one)
+		settle(two)
+		visit(one, kind)
+		for _, write := range wld.late {
+			write()
+		}
+		settle(two)
+		if rates, _ := wld.check(); rates > wld.capacity["link/gulf/delta"] {
+			t.Fatalf("kind %d: %d bytes/s can be used, the cap is %d", kind, rates, wld.capacity["link/gulf/delta"])
+		}
+	}
+}
--- a/internal/fleet/share/sim_test.go
+++ b/internal/fleet/share/sim_test.go
@@ -35,6 +35,8 @@
 	nextID   int64
 	vms      []*vm
 	capacity map[string]int64
+	// putFault overrides the random choice of what happens to a write.
+	putFault func() int
 }
 
 // vm is one entry VM. Its clock runs up to 1% fast or slow.
@@ -167,7 +169,11 @@
 		wld.values[key] = cardamompass.Value{Key: key, Data: data, Revision: wld.nextID}
 		return nil
 	}
-	switch wld.rnd.Intn(12) {
+	kind := wld.rnd.Intn(12)
+	if wld.putFault != nil {
+		kind = wld.putFault()
+	}
+	switch kind {
 	case 0:
 		_ = write()
 		return val, &cardamompass.WriteUnknownError{Key: key, Err: errCut}
