plat, stand: add clients of the platform and stand-ins

Cause: the other parts need the store, the VM list and targets, as clients and as stand-ins for tests and the demo. No tests yet.

--- /dev/null
+++ b/internal/stand/target/answer.go
@@ -0,0 +1,154 @@
+package target
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cardamompass"
+	"cardamompass/internal/stand/ctrl"
+)
+
+// Fault is a fault of an answer. The request has run when its answer has a fault.
+type Fault string
+
+// The faults of answers.
+const (
+	// FaultLate delays the answer by LateMS of the behaviour, with the slot already free and the deadline ignored.
+	FaultLate Fault = "late"
+	// FaultOtherID echoes the id of another request.
+	FaultOtherID Fault = "other-id"
+	// FaultNoID echoes no id.
+	FaultNoID Fault = "no-id"
+	// FaultTruncated declares the whole length, sends half of the body and closes the connection.
+	FaultTruncated Fault = "truncated"
+	// FaultDoubled sends the answer twice on the connection.
+	FaultDoubled Fault = "doubled"
+	// FaultTooLong sends more bytes than declared.
+	FaultTooLong Fault = "too-long"
+)
+
+// surplus is what FaultTooLong appends to the body.
+const surplus = "surplus bytes after the declared end"
+
+// lingerTime is how long a connection stays open, unserved, after FaultDoubled and FaultTooLong, so that a client that
+// wrongly uses it again reads the surplus.
+const lingerTime = 5 * time.Second
+
+// answer sends the answer of a job that ran. It calls free, which gives the slot back, before a late answer.
+func (tgt *Target) answer(rsw http.ResponseWriter, jbb *job, free func()) {
+	flt := tgt.nextFault(jbb)
+	if flt == FaultLate {
+		free()
+		lms := jbb.bhv.LateMS
+		if lms == 0 {
+			lms = defaultLateMS
+		}
+		if !sleep(tgt.clk, milliseconds(lms), jbb.lif.end) {
+			ctrl.Abort()
+		}
+	}
+	tgt.head(rsw, jbb)
+	hdr := rsw.Header()
+	hdr.Set("Content-Type", "application/octet-stream")
+	hdr.Set("Etag", ETag(jbb.key, jbb.siz))
+	switch flt {
+	case FaultLate:
+		// The answer is whole; only its delay was faulty.
+	case FaultOtherID:
+		hdr.Set(cardamompass.HeaderRequestID, tgt.otherID(jbb.rid))
+	case FaultNoID:
+		hdr.Del(cardamompass.HeaderRequestID)
+	case FaultTruncated:
+		rsw = &truncWriter{
+			ResponseWriter: rsw,
+		}
+	case FaultDoubled, FaultTooLong:
+		tgt.hijack(rsw, jbb, flt, free)
+		return
+	}
+	http.ServeContent(rsw, jbb.req, "", time.Time{}, newContent(jbb.key, jbb.siz))
+	if trw, ok := rsw.(*truncWriter); ok {
+		_ = http.NewResponseController(trw.ResponseWriter).Flush()
+		ctrl.Abort()
+	}
+}
+
+func (tgt *Target) nextFault(jbb *job) Fault {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	defer func() { tgt.rec.ids = [2]string{tgt.rec.ids[1], jbb.rid} }()
+	if jbb.flt != "" || len(tgt.flt) == 0 {
+		return jbb.flt
+	}
+	flt := tgt.flt[0]
+	tgt.flt = tgt.flt[1:]
+	return flt
+}
+
+// otherID returns the id of a recent request that is not rid, or an id that no request has.
+func (tgt *Target) otherID(rid string) string {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	for _, oid := range tgt.rec.ids {
+		if oid != "" && oid != rid {
+			return oid
+		}
+	}
+	return rid + "-other"
+}
+
+// truncWriter passes on half of the declared body and swallows the rest.
+type truncWriter struct {
+	http.ResponseWriter
+	lft int64
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (trw *truncWriter) WriteHeader(status int) {
+	num, _ := strconv.ParseInt(trw.Header().Get("Content-Length"), 10, 64)
+	trw.lft = num / 2
+	trw.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (trw *truncWriter) Write(buf []byte) (num int, err error) {
+	cut := buf[:min(int64(len(buf)), trw.lft)]
+	trw.lft -= int64(len(cut))
+	if _, err = trw.ResponseWriter.Write(cut); err != nil {
+		return 0, err
+	}
+	return len(buf), nil
+}
+
+// hijack writes an answer that net/http would not, and leaves the connection open but unserved for a while.
+func (tgt *Target) hijack(rsw http.ResponseWriter, jbb *job, flt Fault, free func()) {
+	con, brw, err := http.NewResponseController(rsw).Hijack()
+	if err != nil {
+		ctrl.Abort()
+	}
+	defer func() { _ = con.Close() }()
+	bdy := Content(jbb.key, jbb.siz)
+	writeRaw(brw.Writer, rsw.Header(), bdy)
+	if flt == FaultDoubled {
+		writeRaw(brw.Writer, rsw.Header(), bdy)
+	} else {
+		_, _ = brw.WriteString(surplus)
+	}
+	if brw.Flush() != nil {
+		return
+	}
+	free()
+	_ = con.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, con)
+}
+
+func writeRaw(buf *bufio.Writer, hdr http.Header, bdy []byte) {
+	_, _ = fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n", len(bdy))
+	_ = hdr.Write(buf)
+	_, _ = buf.WriteString("\r\n")
+	_, _ = buf.Write(bdy)
+}
--- /dev/null
+++ b/internal/stand/target/work.go
@@ -0,0 +1,244 @@
+package target
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"cardamompass"
+	"cardamompass/internal/stand/ctrl"
+)
+
+// job is one request for work.
+type job struct {
+	req *http.Request
+	lif *life
+	bhv Behaviour
+	rid string
+	key string
+	run Run
+	// svc is the service time.
+	svc time.Duration
+	// siz is the size of the answer.
+	siz int64
+	flt Fault
+	cra bool
+	// exp delivers the end of the deadline; nil when there is none.
+	exp <-chan time.Time
+}
+
+// work is the handler of every path that is not the target's own.
+func (tgt *Target) work(rsw http.ResponseWriter, req *http.Request) {
+	dat, err := io.ReadAll(http.MaxBytesReader(rsw, req.Body, ctrl.MaxBodyBytes))
+	if err != nil {
+		ctrl.Abort()
+	}
+	jbb := tgt.newJob(req, dat)
+	if tms, err := strconv.ParseInt(req.Header.Get(cardamompass.HeaderTimeout), 10, 64); err == nil {
+		tmr := tgt.clk.NewTimer(milliseconds(tms))
+		defer tmr.Stop()
+		jbb.exp = tmr.C()
+	}
+	if rsn := tgt.acquire(jbb); rsn != "" {
+		tgt.shed(rsw, jbb, rsn)
+		return
+	}
+	fre := false
+	free := func() {
+		if !fre {
+			fre = true
+			tgt.release()
+		}
+	}
+	defer free()
+	if !tgt.execute(rsw, jbb) {
+		return
+	}
+	tgt.answer(rsw, jbb, free)
+}
+
+func (tgt *Target) newJob(req *http.Request, dat []byte) *job {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	bhv := tgt.bhv
+	mrk := bhv.CrashMarker
+	if mrk == "" {
+		mrk = DefaultCrashMarker
+	}
+	key := ContentKey(req.Method, req.URL.RequestURI(), dat)
+	jbb := &job{
+		req: req,
+		lif: lifeOf(req),
+		bhv: bhv,
+		rid: req.Header.Get(cardamompass.HeaderRequestID),
+		key: key,
+		run: Run{
+			Content:   key,
+			Operation: req.Header.Get(HeaderOperation),
+			RequestID: req.Header.Get(cardamompass.HeaderRequestID),
+		},
+		siz: bhv.AnswerBytes,
+		flt: Fault(req.Header.Get(HeaderFault)),
+		cra: req.Header.Get(HeaderCrash) == "true" || strings.Contains(string(dat), mrk),
+	}
+	jbb.svc = tgt.serviceTime(bhv, req.Header.Get(HeaderService))
+	if jbb.siz == 0 {
+		jbb.siz = defaultAnswerBytes
+	}
+	if siz, err := strconv.ParseInt(req.Header.Get(HeaderAnswerBytes), 10, 64); err == nil && siz >= 0 {
+		jbb.siz = siz
+	}
+	return jbb
+}
+
+// serviceTime returns the time that a request takes now. The caller holds the mutex.
+func (tgt *Target) serviceTime(bhv Behaviour, hdr string) time.Duration {
+	mls := bhv.ServiceMS
+	if num, err := strconv.ParseFloat(hdr, 64); err == nil && num >= 0 {
+		mls = num
+	}
+	if bhv.SlowFactor > 0 {
+		mls *= bhv.SlowFactor
+	}
+	if tgt.cold() && tgt.cfg.ColdFactor > 0 {
+		mls *= tgt.cfg.ColdFactor
+	}
+	return time.Duration(mls * float64(time.Millisecond))
+}
+
+// cold reports whether the target is in its first seconds. The caller holds the mutex.
+func (tgt *Target) cold() bool { return tgt.clk.Now().Sub(tgt.sta) < tgt.cfg.ColdFor }
+
+// acquire takes a slot and returns why the request was shed otherwise.
+func (tgt *Target) acquire(jbb *job) (reason string) {
+	tgt.present(1)
+	tgt.mut.Lock()
+	drn, dch := tgt.drn, tgt.dch
+	tgt.mut.Unlock()
+	rsn := tgt.take(jbb, drn, dch)
+	if rsn != "" {
+		tgt.present(-1)
+	}
+	return rsn
+}
+
+func (tgt *Target) take(jbb *job, drn bool, dch <-chan struct{}) (reason string) {
+	if drn {
+		return "draining"
+	}
+	select {
+	case tgt.slt <- struct{}{}:
+		return tgt.confirm(jbb)
+	default:
+	}
+	if jbb.bhv.WhenFull == Shed {
+		return "all slots are taken"
+	}
+	select {
+	case tgt.slt <- struct{}{}:
+		return tgt.confirm(jbb)
+	case <-dch:
+		return "draining"
+	case <-jbb.exp:
+		return "deadline passed in the queue"
+	case <-jbb.req.Context().Done():
+		return "cancelled in the queue"
+	case <-jbb.lif.end:
+		return "crashed"
+	}
+}
+
+// confirm starts the run on the slot that was taken, or gives the slot back if the request must not run any more.
+func (tgt *Target) confirm(jbb *job) (reason string) {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	select {
+	case <-tgt.dch:
+		reason = "draining"
+	case <-jbb.exp:
+		reason = "deadline passed in the queue"
+	case <-jbb.req.Context().Done():
+		reason = "cancelled in the queue"
+	case <-jbb.lif.end:
+		reason = "crashed"
+	default:
+		tgt.rec.start(jbb.run)
+		tgt.noteLoad()
+		return ""
+	}
+	<-tgt.slt
+	return reason
+}
+
+func (tgt *Target) release() {
+	tgt.mut.Lock()
+	tgt.rec.running--
+	tgt.noteLoad()
+	tgt.mut.Unlock()
+	<-tgt.slt
+	tgt.present(-1)
+}
+
+func (tgt *Target) present(num int) {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	tgt.rec.arrive(num)
+}
+
+// execute runs the job and reports whether it is to be answered.
+func (tgt *Target) execute(rsw http.ResponseWriter, jbb *job) (ok bool) {
+	if jbb.cra {
+		tgt.Crash()
+		ctrl.Abort()
+	}
+	tmr := tgt.clk.NewTimer(jbb.svc)
+	defer tmr.Stop()
+	select {
+	case <-tmr.C():
+		tgt.count(&tgt.rec.finished)
+		return true
+	case <-jbb.exp:
+		tgt.count(&tgt.rec.expired)
+		tgt.head(rsw, jbb)
+		ctrl.WriteJSON(rsw, http.StatusGatewayTimeout, ctrl.ErrorBody{
+			Error:  "deadline",
+			Reason: "the deadline passed while the request ran",
+		})
+		return false
+	case <-jbb.req.Context().Done():
+	case <-jbb.lif.end:
+	}
+	tgt.count(&tgt.rec.cancelled)
+	ctrl.Abort()
+	return false
+}
+
+func (tgt *Target) count(num *int) {
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	*num++
+}
+
+func (tgt *Target) shed(rsw http.ResponseWriter, jbb *job, rsn string) {
+	tgt.count(&tgt.rec.shed)
+	tgt.head(rsw, jbb)
+	rsw.Header().Set(cardamompass.HeaderShed, "true")
+	ctrl.WriteJSON(rsw, http.StatusServiceUnavailable, ctrl.ErrorBody{
+		Error:  "shed",
+		Reason: rsn,
+	})
+}
+
+// head sets the headers of every answer to a job.
+func (tgt *Target) head(rsw http.ResponseWriter, jbb *job) {
+	if jbb.rid != "" {
+		rsw.Header().Set(cardamompass.HeaderRequestID, jbb.rid)
+	}
+	tgt.mut.Lock()
+	defer tgt.mut.Unlock()
+	if tgt.drn {
+		rsw.Header().Set(cardamompass.HeaderState, "draining")
+	}
+}
