--- /dev/null
+++ b/internal/stand/fault/fault_test.go
@@ -0,0 +1,202 @@
+package fault_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"cardamompass/internal/stand/ctrl"
+	"cardamompass/internal/stand/fault"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type fixture struct {
+	t   *testing.T
+	prx *fault.Proxy
+	clk *ctrl.ManualClock
+	// acc delivers the connections that arrive at the upstream.
+	acc chan net.Conn
+}
+
+func start(t *testing.T) fixture {
+	t.Helper()
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clk := ctrl.NewManualClock(time.Unix(1000, 0))
+	prx, cleanup, err := fault.New(fault.Config{
+		Address:  "127.0.0.1:0",
+		Upstream: lsn.Addr().String(),
+		Clock:    clk,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	acc := make(chan net.Conn, 10)
+	go func() {
+		defer close(acc)
+		for {
+			con, err := lsn.Accept()
+			if err != nil {
+				return
+			}
+			acc <- con
+		}
+	}()
+	t.Cleanup(func() {
+		cleanup()
+		lsn.Close()
+	})
+	return fixture{
+		t:   t,
+		prx: prx,
+		clk: clk,
+		acc: acc,
+	}
+}
+
+// pair returns both ends of a new connection through the proxy.
+func (fix fixture) pair() (cli, ups net.Conn) {
+	fix.t.Helper()
+	cli, err := net.Dial("tcp", fix.prx.Address())
+	if err != nil {
+		fix.t.Fatal(err)
+	}
+	ups = <-fix.acc
+	fix.t.Cleanup(func() {
+		cli.Close()
+		ups.Close()
+	})
+	fix.echo(cli, ups)
+	return cli, ups
+}
+
+// echo checks that bytes pass in both directions.
+func (fix fixture) echo(cli, ups net.Conn) {
+	fix.t.Helper()
+	fix.pass(cli, ups, "up")
+	fix.pass(ups, cli, "down")
+}
+
+func (fix fixture) pass(src, dst net.Conn, txt string) {
+	fix.t.Helper()
+	_, _ = io.WriteString(src, txt)
+	fix.read(dst, txt)
+}
+
+func (fix fixture) read(dst net.Conn, want string) {
+	fix.t.Helper()
+	buf := make([]byte, len(want))
+	_ = dst.SetReadDeadline(time.Now().Add(20 * time.Second))
+	if _, err := io.ReadFull(dst, buf); err != nil || string(buf) != want {
+		fix.t.Fatalf("read %q, %v; want %q", buf, err, want)
+	}
+}
+
+// broken checks that a connection ends with an error that is not an orderly end.
+func (fix fixture) broken(con net.Conn) {
+	fix.t.Helper()
+	_ = con.SetReadDeadline(time.Now().Add(20 * time.Second))
+	_, err := con.Read(make([]byte, 1))
+	if err == nil || errors.Is(err, io.EOF) || errors.Is(err, os.ErrDeadlineExceeded) {
+		fix.t.Fatalf("read of a reset connection: %v", err)
+	}
+}
+
+func (fix fixture) until(cond func(fault.Stats) bool) {
+	fix.t.Helper()
+	for range 10000 {
+		if cond(fix.prx.Stats()) {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	fix.t.Fatalf("condition not reached: %+v", fix.prx.Stats())
+}
+
+// Guards against bytes that are delivered before their delay, or lost when their sender closes first.
+func TestLateDelivery(t *testing.T) {
+	fix := start(t)
+	cli, ups := fix.pair()
+	fix.prx.SetDelay(fault.Up, time.Minute)
+	fix.pass(ups, cli, "the other direction is not delayed")
+	_, _ = io.WriteString(cli, "late")
+	cli.(*net.TCPConn).CloseWrite()
+	fix.clk.AwaitTimers(1)
+	if got := fix.prx.Stats().BytesUp; got != 2 {
+		t.Fatalf("%d bytes were delivered before the delay was over, want 2", got)
+	}
+	fix.clk.Advance(time.Minute)
+	fix.read(ups, "late")
+}
+
+// Guards against a freeze that loses bytes or lets them pass.
+func TestFreeze(t *testing.T) {
+	fix := start(t)
+	cli, ups := fix.pair()
+	fix.prx.Freeze()
+	_, _ = io.WriteString(cli, "held")
+	_, _ = io.WriteString(ups, "too")
+	// The short deadline can only hide a fault, not report a false one.
+	_ = ups.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if num, err := ups.Read(make([]byte, 1)); num > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("bytes passed a freeze: %v", err)
+	}
+	if sts := fix.prx.Stats(); sts.BytesUp != 2 || sts.BytesDown != 4 {
+		t.Fatalf("bytes passed a freeze: %+v", sts)
+	}
+	fix.prx.Resume()
+	fix.read(ups, "held")
+	fix.read(cli, "too")
+}
+
+// Guards against a one-way cut that stops both directions, and against a stream with a gap after Heal.
+func TestOneWayCut(t *testing.T) {
+	fix := start(t)
+	cli, ups := fix.pair()
+	fix.prx.Drop(fault.Up)
+	_, _ = io.WriteString(cli, "lost")
+	fix.until(func(sts fault.Stats) bool { return sts.DroppedUp == 4 })
+	fix.pass(ups, cli, "still passes")
+	if err := fix.prx.Heal(); err != nil {
+		t.Fatal(err)
+	}
+	fix.broken(cli)
+	fix.pair()
+}
+
+// Guards against a cut that spares connections, and a heal that does not bring them back.
+func TestCutAndRefuse(t *testing.T) {
+	fix := start(t)
+	cli, ups := fix.pair()
+	fix.prx.Cut()
+	fix.broken(cli)
+	fix.broken(ups)
+	con, err := net.Dial("tcp", fix.prx.Address())
+	if err == nil {
+		fix.broken(con)
+		con.Close()
+	}
+	if err := fix.prx.Heal(); err != nil {
+		t.Fatal(err)
+	}
+	cli, _ = fix.pair()
+	fix.prx.Refuse()
+	fix.broken(cli)
+	if con, err := net.Dial("tcp", fix.prx.Address()); err == nil {
+		con.Close()
+		t.Fatal("the port is open after Refuse")
+	}
+	if err := fix.prx.Heal(); err != nil {
+		t.Fatal(err)
+	}
+	fix.pair()
+	fix.until(func(sts fault.Stats) bool { return sts.Connections == 3 && sts.Open == 1 })
+}
