--- a/internal/stand/target/life.go
+++ b/internal/stand/target/life.go
@@ -179,13 +179,17 @@
 	tgt.lif = nil
 	tgt.rec.crashes++
 	if tgt.bhv.RestartMS > 0 && !tgt.cls {
-		dur := milliseconds(tgt.bhv.RestartMS)
-		tgt.wgr.Go(func() { tgt.restartAfter(dur) })
+		// The timer starts here, so that a clock that is advanced right after the crash counts.
+		tmr := tgt.clk.NewTimer(milliseconds(tgt.bhv.RestartMS))
+		tgt.wgr.Go(func() { tgt.restartAt(tmr) })
 	}
 }
 
-func (tgt *Target) restartAfter(dur time.Duration) {
-	if !sleep(tgt.clk, dur, tgt.end) {
+func (tgt *Target) restartAt(tmr cardamompass.Timer) {
+	defer tmr.Stop()
+	select {
+	case <-tmr.C():
+	case <-tgt.end:
 		return
 	}
 	for range restartTries {
