conf: settings and catalogue document

Cause: processes need checked settings, and operators need a catalogue that is parsed, merged and edited safely. Conclusion: first version for the packages that depend on it; tests follow.

--- /dev/null
+++ b/internal/conf/catlg/merge.go
@@ -0,0 +1,60 @@
+package catlg
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Merge returns the document that holds the newer state of each entry of one and two. It is commutative, associative
+// and idempotent.
+func Merge(one, two *Document) *Document {
+	ents := maps.Clone(one.ents)
+	if ents == nil {
+		ents = make(map[EntryName]Entry, len(two.ents))
+	}
+	for nam, ent := range two.ents {
+		if old, ok := ents[nam]; !ok || ent.compare(old) > 0 {
+			ents[nam] = ent
+		}
+	}
+	return newDocument(max(one.version, two.version), mergeEdits(one.edits, two.edits), ents)
+}
+
+// Delta returns the part of two that one lacks: Merge(one, Delta(one, two)) equals Merge(one, two).
+func Delta(one, two *Document) *Document {
+	ents := map[EntryName]Entry{}
+	for nam, ent := range two.ents {
+		if old, ok := one.ents[nam]; !ok || ent.compare(old) > 0 {
+			ents[nam] = ent
+		}
+	}
+	var edits []EditRecord
+	for _, rec := range two.edits {
+		if !slices.Contains(one.edits, rec) {
+			edits = append(edits, rec)
+		}
+	}
+	return newDocument(two.version, edits, ents)
+}
+
+// mergeEdits returns the latest MaxEdits records of both lists, the latest first, one for each id.
+func mergeEdits(one, two []EditRecord) (recs []EditRecord) {
+	all := slices.Concat(one, two)
+	slices.SortFunc(all, func(fst, snd EditRecord) int {
+		return cmp.Or(
+			cmp.Compare(snd.Version, fst.Version),
+			cmp.Compare(snd.ID, fst.ID),
+			cmp.Compare(snd.By, fst.By),
+			cmp.Compare(snd.Content, fst.Content),
+		)
+	})
+	seen := map[string]bool{}
+	for _, rec := range all {
+		if len(recs) < MaxEdits && !seen[rec.ID] {
+			seen[rec.ID] = true
+			recs = append(recs, rec)
+		}
+	}
+	return recs
+}
--- /dev/null
+++ b/internal/conf/config/config.go
@@ -0,0 +1,167 @@
+// Package config reads the settings of one entry VM process.
+//
+// Settings are JSON with comments and kebab-case names. They are read once, checked whole, and never change afterwards.
+// All faults are reported together, each with file, line and column. A setting that is not given has the default that
+// examples/settings.jsonc names.
+package config
+
+import (
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap/zapcore"
+
+	"cardamompass"
+	"cardamompass/internal/conf/jsonc"
+)
+
+// maxFileBytes bounds a settings file. A larger file is certainly another file named by mistake.
+const maxFileBytes = 1 << 20
+
+// Settings are the settings of one process. They are immutable: callers must not modify Seeds. A Settings is safe for
+// concurrent use. The json tags are the names in the file.
+type Settings struct {
+	// VMID names the VM; Region and FailureDomain are its place.
+	VMID          cardamompass.VMID          `json:"vm-id"`
+	Region        cardamompass.Region        `json:"region"`
+	FailureDomain cardamompass.FailureDomain `json:"failure-domain"`
+	// CallerAddress, PeerAddress and OperatorAddress are the host:port, by IP number, on which the process listens.
+	// OperatorAddress serves the state dump and the metrics.
+	CallerAddress   string `json:"caller-address"`
+	PeerAddress     string `json:"peer-address"`
+	OperatorAddress string `json:"operator-address"`
+	// AdvertiseCallerAddress and AdvertisePeerAddress are the addresses that others are told.
+	AdvertiseCallerAddress string `json:"advertise-caller-address"`
+	AdvertisePeerAddress   string `json:"advertise-peer-address"`
+	// StoreAddress is the host:port of the platform's key-value service.
+	StoreAddress string `json:"store-address"`
+	// VMListAddress is the host:port of the platform's VM list; empty when there is none.
+	VMListAddress string `json:"vm-list-address"`
+	// PeerKey authenticates entry VMs to each other.
+	PeerKey Secret `json:"peer-key"`
+	// Seeds are peer addresses of other entry VMs at which the membership starts.
+	Seeds []string `json:"seeds"`
+	// LogLevel is the lowest level that is logged.
+	LogLevel zapcore.Level `json:"log-level"`
+	// LookupMaxAge is the time for which callers may keep a look-up answer.
+	LookupMaxAge time.Duration `json:"lookup-max-age"`
+
+	Limits     Limits     `json:"limits"`
+	Steering   Steering   `json:"steering"`
+	Membership Membership `json:"membership"`
+	Spread     Spread     `json:"spread"`
+	Share      Share      `json:"share"`
+	Operations Operations `json:"operations"`
+	Guard      Guard      `json:"guard"`
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	// MaxHeader and MaxBody are in bytes.
+	MaxHeader int64 `json:"max-header"`
+	MaxBody   int64 `json:"max-body"`
+	// MaxConnections is the number of connections of callers.
+	MaxConnections int `json:"max-connections"`
+	// IdleTimeout closes a connection without a request; ReadHeaderTimeout bounds the reading of a header.
+	IdleTimeout       time.Duration `json:"idle-timeout"`
+	ReadHeaderTimeout time.Duration `json:"read-header-timeout"`
+}
+
+// Steering sets the budgets and bounds of steering.
+type Steering struct {
+	// HedgePercent and RetryPercent are budgets, in percent of the requests.
+	HedgePercent int `json:"hedge-percent"`
+	RetryPercent int `json:"retry-percent"`
+	// ColdRamp is the time in which the usable share of a cold region grows from ColdStartPercent to 100%.
+	ColdRamp         time.Duration `json:"cold-ramp"`
+	ColdStartPercent int           `json:"cold-start-percent"`
+	// StragglerFactor times the usual latency is the age of a request at which its target counts as a straggler.
+	StragglerFactor int `json:"straggler-factor"`
+	// QueueLength bounds the waiting requests of a service for which the catalogue gives no bound.
+	QueueLength int `json:"queue-length"`
+}
+
+// Membership sets the failure detection between entry VMs.
+type Membership struct {
+	// ProbeInterval is the time between probes, ProbeTimeout the time allowed for one answer.
+	ProbeInterval time.Duration `json:"probe-interval"`
+	ProbeTimeout  time.Duration `json:"probe-timeout"`
+	// SuspectTime is the time in which a suspected member can refute the suspicion.
+	SuspectTime time.Duration `json:"suspect-time"`
+	// IndirectProbes is the number of members that are asked to probe one that did not answer.
+	IndirectProbes int `json:"indirect-probes"`
+}
+
+// Spread sets the dissemination of the catalogue.
+type Spread struct {
+	// Watchers is the number of entry VMs that watch the store.
+	Watchers int `json:"watchers"`
+	// PushFanout is the number of peers to which a change is pushed.
+	PushFanout int `json:"push-fanout"`
+	// PullInterval is the time between digest exchanges.
+	PullInterval time.Duration `json:"pull-interval"`
+}
+
+// Share sets the division of caps between entry VMs.
+type Share struct {
+	// Lease is the time for which an entry of the ledger is held.
+	Lease time.Duration `json:"lease"`
+	// Loan is the time after which a loan ends unless renewed.
+	Loan time.Duration `json:"loan"`
+}
+
+// Operations sets the handling of non-idempotent requests.
+type Operations struct {
+	// TicketLifetime is the time after its issue at which a ticket expires.
+	TicketLifetime time.Duration `json:"ticket-lifetime"`
+	// RecordRetention is the time for which a record is kept after the operation ended.
+	RecordRetention time.Duration `json:"record-retention"`
+	// MaxRecords bounds the records of one VM.
+	MaxRecords int `json:"max-records"`
+}
+
+// Guard sets the protection against content that crashes targets.
+type Guard struct {
+	// BlockTime is the time for which such content is refused.
+	BlockTime time.Duration `json:"block-time"`
+}
+
+// Load reads the settings file at path. Faults in the file are a *jsonc.ProblemsError.
+func Load(path string) (set Settings, err error) {
+	defer func() {
+		err = errors.WithMessage(err, "settings")
+	}()
+	inf, err := os.Stat(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	if inf.Size() > maxFileBytes {
+		return Settings{}, errors.Errorf("%s has %d bytes, at most %d are allowed", path, inf.Size(), maxFileBytes)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	return parse(path, data)
+}
+
+// Parse reads settings from data. name stands for the file in the faults, which are a *jsonc.ProblemsError.
+func Parse(name string, data []byte) (set Settings, err error) {
+	defer func() {
+		err = errors.WithMessage(err, "settings")
+	}()
+	return parse(name, data)
+}
+
+func parse(name string, data []byte) (set Settings, err error) {
+	nod, rep, err := jsonc.Parse(name, data, jsonc.WithComments)
+	if err != nil {
+		return Settings{}, err
+	}
+	set = read(nod)
+	if err = rep.Err(); err != nil {
+		return Settings{}, err
+	}
+	return set, nil
+}
--- /dev/null
+++ b/internal/conf/config/read.go
@@ -0,0 +1,344 @@
+package config
+
+import (
+	"math"
+	"net/netip"
+	"regexp"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"cardamompass"
+	"cardamompass/internal/conf/catlg"
+	"cardamompass/internal/conf/jsonc"
+)
+
+const (
+	minKeyBytes = 16 // a shorter shared key can be guessed by trial
+	// ticketSkew is how far in the future of the home's clock a ticket may be issued (docs/design.md 7.1). A ticket
+	// is therefore usable for its lifetime plus this time.
+	ticketSkew = 30 * time.Second
+	hour       = time.Hour
+	day        = 24 * time.Hour
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,63}$`)
+
+// group reads the members of one object with their defaults.
+type group struct {
+	*jsonc.Object
+}
+
+func subgroup(grp group, name string) (sub group, ok bool) {
+	nod, ok := grp.Get(name)
+	if !ok {
+		return group{}, false
+	}
+	return group{Object: nod.Object()}, true
+}
+
+func (grp group) get(name string) (nod jsonc.Node, ok bool) {
+	if grp.Object == nil {
+		return jsonc.Node{}, false
+	}
+	return grp.Get(name)
+}
+
+func (grp group) number(name string, def, least, most int) int {
+	if nod, ok := grp.get(name); ok {
+		if num, good := nod.Int(int64(least), int64(most)); good {
+			return int(num)
+		}
+	}
+	return def
+}
+
+func (grp group) duration(name string, def, least, most time.Duration) time.Duration {
+	if nod, ok := grp.get(name); ok {
+		if dur, good := nod.Duration(least, most); good {
+			return dur
+		}
+	}
+	return def
+}
+
+func (grp group) size(name string, def, least, most int64) int64 {
+	if nod, ok := grp.get(name); ok {
+		if num, good := nod.Size(least, most); good {
+			return num
+		}
+	}
+	return def
+}
+
+// name reads a name that must be given.
+func (grp group) name(name string) string {
+	nod, ok := grp.Need(name)
+	if !ok {
+		return ""
+	}
+	txt, ok := nod.Text()
+	if ok && !namePattern.MatchString(txt) {
+		nod.Fail("%q is not a name; use 1 to 64 of a-z, 0-9, '.', '_' and '-', with a letter or digit first", txt)
+	}
+	return txt
+}
+
+// listen reads an address that must be given.
+func (grp group) listen(name string) string {
+	nod, ok := grp.Need(name)
+	if !ok {
+		return ""
+	}
+	return address(nod, true)
+}
+
+// remote reads an address that others can be reached at, with a default.
+func (grp group) remote(name, def string) string {
+	if nod, ok := grp.get(name); ok {
+		return address(nod, false)
+	}
+	return def
+}
+
+// address reads host:port by IP number. An unspecified IP number such as 0.0.0.0 is for listening only.
+func address(nod jsonc.Node, listen bool) string {
+	txt, ok := nod.Text()
+	if !ok {
+		return ""
+	}
+	adr, err := netip.ParseAddrPort(txt)
+	switch {
+	case err != nil:
+		nod.Fail(`%q is not an address; use an IP number and a port, such as "10.0.0.1:7001"`, txt)
+	case adr.Port() == 0:
+		nod.Fail("%q has port 0; use a port from 1 to 65535", txt)
+	case adr.Addr().IsUnspecified() && !listen:
+		nod.Fail("%q is not an address that others can reach; use the IP number of the machine", txt)
+	default:
+		return adr.String()
+	}
+	return ""
+}
+
+func read(nod jsonc.Node) (set Settings) {
+	grp := group{Object: nod.Object()}
+	set = readPlace(grp)
+	set.PeerKey = readKey(grp)
+	set.Seeds = readSeeds(grp)
+	set.LogLevel = readLevel(grp)
+	set.LookupMaxAge = grp.duration("lookup-max-age", 5*time.Second, 100*time.Millisecond, hour)
+	set.Limits = readLimits(grp)
+	set.Steering = readSteering(grp)
+	set.Membership = readMembership(grp)
+	set.Spread = readSpread(grp)
+	set.Share = readShare(grp)
+	set.Operations = readOperations(grp, set.LookupMaxAge)
+	set.Guard = readGuard(grp)
+	checkAddresses(grp, set)
+	grp.Close()
+	return set
+}
+
+func readPlace(grp group) (set Settings) {
+	set = Settings{
+		VMID:            cardamompass.VMID(grp.name("vm-id")),
+		Region:          cardamompass.Region(grp.name("region")),
+		FailureDomain:   cardamompass.FailureDomain(grp.name("failure-domain")),
+		CallerAddress:   grp.listen("caller-address"),
+		PeerAddress:     grp.listen("peer-address"),
+		OperatorAddress: grp.listen("operator-address"),
+		VMListAddress:   grp.remote("vm-list-address", ""),
+	}
+	set.AdvertiseCallerAddress = grp.remote("advertise-caller-address", set.CallerAddress)
+	set.AdvertisePeerAddress = grp.remote("advertise-peer-address", set.PeerAddress)
+	if nod, ok := grp.Need("store-address"); ok {
+		set.StoreAddress = address(nod, false)
+	}
+	return set
+}
+
+func readKey(grp group) Secret {
+	nod, ok := grp.Need("peer-key")
+	if !ok {
+		return Secret{}
+	}
+	txt, ok := nod.Text()
+	if ok && len(txt) < minKeyBytes {
+		nod.Fail("has %d bytes; use at least %d", len(txt), minKeyBytes)
+	}
+	return NewSecret(txt)
+}
+
+func readSeeds(grp group) (adrs []string) {
+	nod, ok := grp.Get("seeds")
+	if !ok {
+		return nil
+	}
+	nods, _ := nod.Array()
+	for _, one := range nods {
+		adrs = append(adrs, address(one, false))
+	}
+	return adrs
+}
+
+func readLevel(grp group) zapcore.Level {
+	nod, ok := grp.Get("log-level")
+	if !ok {
+		return zapcore.InfoLevel
+	}
+	txt, ok := nod.Text()
+	lvl, known := map[string]zapcore.Level{
+		"debug": zapcore.DebugLevel,
+		"info":  zapcore.InfoLevel,
+		"warn":  zapcore.WarnLevel,
+		"error": zapcore.ErrorLevel,
+	}[txt]
+	if ok && !known {
+		nod.Fail("%q is not a level; use debug, info, warn or error", txt)
+	}
+	return lvl
+}
+
+func readLimits(grp group) (lim Limits) {
+	sub, ok := subgroup(grp, "limits")
+	lim = Limits{
+		MaxHeader:         sub.size("max-header", 16<<10, 1<<10, 1<<20),
+		MaxBody:           sub.size("max-body", 1<<20, 0, catlg.MaxBodyBytes),
+		MaxConnections:    sub.number("max-connections", 10000, 1, 1000000),
+		IdleTimeout:       sub.duration("idle-timeout", time.Minute, time.Second, day),
+		ReadHeaderTimeout: sub.duration("read-header-timeout", 5*time.Second, 100*time.Millisecond, 5*time.Minute),
+	}
+	if ok {
+		sub.Close()
+	}
+	return lim
+}
+
+func readSteering(grp group) (str Steering) {
+	sub, ok := subgroup(grp, "steering")
+	str = Steering{
+		HedgePercent:     sub.number("hedge-percent", 3, 0, 100),
+		RetryPercent:     sub.number("retry-percent", 10, 0, 100),
+		ColdRamp:         sub.duration("cold-ramp", 10*time.Second, 0, hour),
+		ColdStartPercent: sub.number("cold-start-percent", 25, 1, 100),
+		StragglerFactor:  sub.number("straggler-factor", 3, 2, 100),
+		QueueLength:      sub.number("queue-length", 256, 0, catlg.MaxQueueLength),
+	}
+	if ok {
+		sub.Close()
+	}
+	return str
+}
+
+func readMembership(grp group) (mbs Membership) {
+	sub, ok := subgroup(grp, "membership")
+	mbs = Membership{
+		ProbeInterval:  sub.duration("probe-interval", 500*time.Millisecond, 10*time.Millisecond, time.Minute),
+		ProbeTimeout:   sub.duration("probe-timeout", 200*time.Millisecond, time.Millisecond, time.Minute),
+		SuspectTime:    sub.duration("suspect-time", 2*time.Second, 10*time.Millisecond, 10*time.Minute),
+		IndirectProbes: sub.number("indirect-probes", 3, 0, 100),
+	}
+	if !ok {
+		return mbs
+	}
+	if mbs.ProbeTimeout >= mbs.ProbeInterval {
+		sub.Fail("probe-timeout", "%s must be below probe-interval, which is %s", mbs.ProbeTimeout, mbs.ProbeInterval)
+	}
+	// A suspected member refutes on the next probe, so it needs the time of at least one.
+	if mbs.SuspectTime <= mbs.ProbeInterval {
+		sub.Fail("suspect-time", "%s must exceed probe-interval, which is %s", mbs.SuspectTime, mbs.ProbeInterval)
+	}
+	sub.Close()
+	return mbs
+}
+
+func readSpread(grp group) (spr Spread) {
+	sub, ok := subgroup(grp, "spread")
+	spr = Spread{
+		Watchers:     sub.number("watchers", 3, 1, 100),
+		PushFanout:   sub.number("push-fanout", 4, 1, 100),
+		PullInterval: sub.duration("pull-interval", time.Second, 10*time.Millisecond, time.Minute),
+	}
+	if ok {
+		sub.Close()
+	}
+	return spr
+}
+
+func readShare(grp group) (shr Share) {
+	sub, ok := subgroup(grp, "share")
+	shr = Share{
+		Lease: sub.duration("lease", hour, 10*time.Second, day),
+		Loan:  sub.duration("loan", 3*time.Second, 100*time.Millisecond, 5*time.Minute),
+	}
+	if !ok {
+		return shr
+	}
+	if shr.Loan >= shr.Lease {
+		sub.Fail("loan", "%s must be below lease, which is %s", shr.Loan, shr.Lease)
+	}
+	sub.Close()
+	return shr
+}
+
+func readOperations(grp group, maxAge time.Duration) (ops Operations) {
+	sub, ok := subgroup(grp, "operations")
+	ops = Operations{
+		TicketLifetime:  sub.duration("ticket-lifetime", 5*time.Minute, time.Second, day),
+		RecordRetention: sub.duration("record-retention", 10*time.Minute, time.Second, 2*day),
+		MaxRecords:      sub.number("max-records", 200000, 1, math.MaxInt32),
+	}
+	// A ticket comes from a look-up answer that the caller may keep for maxAge.
+	if maxAge >= ops.TicketLifetime {
+		grp.Fail("lookup-max-age", "%s must be below operations.ticket-lifetime, which is %s", maxAge, ops.TicketLifetime)
+	}
+	if !ok {
+		return ops
+	}
+	// A record that is dropped while its ticket is still valid would let a re-sent operation run a second time.
+	if least := ops.TicketLifetime + ticketSkew + catlg.MaxOperationTimeout; ops.RecordRetention <= least {
+		sub.Fail("record-retention", "%s must exceed %s: ticket-lifetime %s, clock skew %s, longest timeout of an operation %s",
+			ops.RecordRetention, least, ops.TicketLifetime, ticketSkew, catlg.MaxOperationTimeout)
+	}
+	sub.Close()
+	return ops
+}
+
+func readGuard(grp group) (grd Guard) {
+	sub, ok := subgroup(grp, "guard")
+	grd = Guard{
+		BlockTime: sub.duration("block-time", 10*time.Minute, time.Second, day),
+	}
+	if ok {
+		sub.Close()
+	}
+	return grd
+}
+
+// checkAddresses refuses addresses that exclude each other and advertised addresses that nobody can reach.
+func checkAddresses(grp group, set Settings) {
+	seen := map[string]string{}
+	for _, one := range []struct{ name, adr string }{
+		{name: "caller-address", adr: set.CallerAddress},
+		{name: "peer-address", adr: set.PeerAddress},
+		{name: "operator-address", adr: set.OperatorAddress},
+	} {
+		if one.adr == "" {
+			continue
+		}
+		if oth, ok := seen[one.adr]; ok {
+			grp.Fail(one.name, "%s is also the %s; use another port", one.adr, oth)
+		}
+		seen[one.adr] = one.name
+	}
+	for _, one := range []struct{ name, listen, adr string }{
+		{name: "caller-address", listen: set.CallerAddress, adr: set.AdvertiseCallerAddress},
+		{name: "peer-address", listen: set.PeerAddress, adr: set.AdvertisePeerAddress},
+	} {
+		adr, err := netip.ParseAddrPort(one.adr)
+		if err == nil && adr.Addr().IsUnspecified() && one.listen == one.adr {
+			grp.Fail(one.name, "%s is not an address that others can reach; give advertise-%s too", one.adr, one.name)
+		}
+	}
+}
