--- a/internal/conf/catlg/validate.go
+++ b/internal/conf/catlg/validate.go
@@ -203,7 +203,7 @@
 			chk.add(nam, "prefixes", "%s has bits after its length; use %s", pfx, pfx.Masked())
 		}
 		if oth, ok := chk.prefixes[pfx.Masked()]; ok {
-			chk.add(nam, "prefixes", "%s is also in %s", pfx, oth)
+			chk.add(nam, "prefixes", "%s is also in %s", pfx.Masked(), oth)
 		}
 		chk.prefixes[pfx.Masked()] = nam
 	}
--- a/internal/conf/jsonc/node.go
+++ b/internal/conf/jsonc/node.go
@@ -189,6 +189,8 @@
 	Name string
 	// Node is its value.
 	Node Node
+
+	start int // offset of the name
 }
 
 // Object reads an object. A duplicate name is a fault; the first member of the name counts. For a value of another
@@ -228,8 +230,9 @@
 	}
 	obj.index[nam] = nod
 	obj.mems = append(obj.mems, Member{
-		Name: nam,
-		Node: nod,
+		Name:  nam,
+		Node:  nod,
+		start: mem.Name.StartOffset,
 	})
 }
 
@@ -271,10 +274,11 @@
 			continue
 		}
 		if nam := nearest(mem.Name, obj.known); nam != "" {
-			mem.Node.Fail("is not known; did you mean %q?", nam)
+			obj.nod.rep.add(mem.start, mem.Node.path, "is not known; did you mean %q?", nam)
 			continue
 		}
-		mem.Node.Fail("is not known; known here: %s", strings.Join(slices.Sorted(slices.Values(obj.known)), ", "))
+		obj.nod.rep.add(mem.start, mem.Node.path, "is not known; known here: %s",
+			strings.Join(slices.Sorted(slices.Values(obj.known)), ", "))
 	}
 }
 
