--- a/cmd/cardamompass/edits.go
+++ b/cmd/cardamompass/edits.go
@@ -49,7 +49,11 @@
 		Base:   base,
 		Edited: edited,
 	})
-	return report(env, acc, err)
+	if err = report(env, acc, err); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(env.Err, "read the catalogue with get before the next edit of %s\n", cmd.File)
+	return err
 }
 
 // base returns the document on which the file is based. Without a base file this is the document in the store, if the
