--- a/internal/conf/jsonc/jsonc.go
+++ b/internal/conf/jsonc/jsonc.go
@@ -146,7 +146,7 @@
 	}
 	return Node{
 		rep: rep,
-		val: val,
+		val: &val,
 	}, rep, nil
 }
 
--- a/internal/conf/jsonc/node.go
+++ b/internal/conf/jsonc/node.go
@@ -13,17 +13,24 @@
 
 // Node is one value of a file.
 type Node struct {
-	rep  *Report
-	val  hujson.Value
-	path string
+	rep *Report
+	val *hujson.Value
+	// The path is joined only when it is asked for, because a large file has many nodes and few faults.
+	within string // path of the containing node
+	name   string // name in an object, index in brackets in an array
 }
 
 // Path names the node, for example "limits.max-body".
-func (nod Node) Path() string { return nod.path }
+func (nod Node) Path() string {
+	if nod.within == "" || strings.HasPrefix(nod.name, "[") {
+		return nod.within + nod.name
+	}
+	return nod.within + "." + nod.name
+}
 
 // Fail adds a fault at the node.
 func (nod Node) Fail(format string, args ...any) {
-	nod.rep.add(nod.val.StartOffset, nod.path, format, args...)
+	nod.rep.add(nod.val.StartOffset, nod.Path(), format, args...)
 }
 
 func (nod Node) kind() string {
@@ -153,11 +160,13 @@
 		nod.Fail("is %s; use an array", nod.kind())
 		return nil, false
 	}
-	for idx, val := range arr.Elements {
+	pth := nod.Path()
+	for idx := range arr.Elements {
 		nods = append(nods, Node{
-			rep:  nod.rep,
-			val:  val,
-			path: nod.path + "[" + strconv.Itoa(idx) + "]",
+			rep:    nod.rep,
+			val:    &arr.Elements[idx],
+			within: pth,
+			name:   "[" + strconv.Itoa(idx) + "]",
 		})
 	}
 	return nods, true
@@ -174,11 +183,15 @@
 	return txts, ok
 }
 
+// indexFrom is the number of members from which an object has an index. Searching fewer is faster than a map.
+const indexFrom = 16
+
 // Object is an object whose members are read by name.
 type Object struct {
 	nod   Node
+	path  string
 	mems  []Member
-	index map[string]Node
+	index map[string]int // positions in mems; nil for a small object
 	known []string
 	bad   bool
 }
@@ -197,8 +210,8 @@
 // type it adds a fault and returns an empty object, which reports no missing members.
 func (nod Node) Object() *Object {
 	obj := &Object{
-		nod:   nod,
-		index: map[string]Node{},
+		nod:  nod,
+		path: nod.Path(),
 	}
 	raw, ok := nod.val.Value.(*hujson.Object)
 	if !ok {
@@ -206,29 +219,32 @@
 		obj.bad = true
 		return obj
 	}
-	for _, mem := range raw.Members {
-		obj.add(mem)
+	obj.mems = make([]Member, 0, len(raw.Members))
+	if len(raw.Members) >= indexFrom {
+		obj.index = make(map[string]int, len(raw.Members))
+	}
+	for idx := range raw.Members {
+		obj.add(&raw.Members[idx])
 	}
 	return obj
 }
 
-func (obj *Object) add(mem hujson.ObjectMember) {
+func (obj *Object) add(mem *hujson.ObjectMember) {
 	nam := mem.Name.Value.(hujson.Literal).String()
-	pth := nam
-	if obj.nod.path != "" {
-		pth = obj.nod.path + "." + nam
+	nod := Node{
+		rep:    obj.nod.rep,
+		val:    &mem.Value,
+		within: obj.path,
+		name:   nam,
 	}
-	if fst, ok := obj.index[nam]; ok {
+	if fst, ok := obj.find(nam); ok {
 		lin, col := position(obj.nod.rep.data, fst.val.StartOffset)
-		obj.nod.rep.add(mem.Name.StartOffset, pth, "is given twice, first at %d:%d; keep one", lin, col)
+		obj.nod.rep.add(mem.Name.StartOffset, nod.Path(), "is given twice, first at %d:%d; keep one", lin, col)
 		return
 	}
-	nod := Node{
-		rep:  obj.nod.rep,
-		val:  mem.Value,
-		path: pth,
+	if obj.index != nil {
+		obj.index[nam] = len(obj.mems)
 	}
-	obj.index[nam] = nod
 	obj.mems = append(obj.mems, Member{
 		Name:  nam,
 		Node:  nod,
@@ -236,6 +252,22 @@
 	})
 }
 
+func (obj *Object) find(name string) (nod Node, ok bool) {
+	if obj.index != nil {
+		idx, ok := obj.index[name]
+		if !ok {
+			return Node{}, false
+		}
+		return obj.mems[idx].Node, true
+	}
+	for idx := range obj.mems {
+		if obj.mems[idx].Name == name {
+			return obj.mems[idx].Node, true
+		}
+	}
+	return Node{}, false
+}
+
 // Members returns all members in the order of the file.
 func (obj *Object) Members() []Member { return obj.mems }
 
@@ -245,8 +277,7 @@
 // Get returns the member name, if it is there, and makes name known to Close.
 func (obj *Object) Get(name string) (nod Node, ok bool) {
 	obj.known = append(obj.known, name)
-	nod, ok = obj.index[name]
-	return nod, ok
+	return obj.find(name)
 }
 
 // Need is Get for a member that must be there.
@@ -260,7 +291,7 @@
 
 // Fail adds a fault at the member name, or at the object if it is not there.
 func (obj *Object) Fail(name, format string, args ...any) {
-	if nod, ok := obj.index[name]; ok {
+	if nod, ok := obj.find(name); ok {
 		nod.Fail(format, args...)
 		return
 	}
@@ -274,10 +305,10 @@
 			continue
 		}
 		if nam := nearest(mem.Name, obj.known); nam != "" {
-			obj.nod.rep.add(mem.start, mem.Node.path, "is not known; did you mean %q?", nam)
+			obj.nod.rep.add(mem.start, mem.Node.Path(), "is not known; did you mean %q?", nam)
 			continue
 		}
-		obj.nod.rep.add(mem.start, mem.Node.path, "is not known; known here: %s",
+		obj.nod.rep.add(mem.start, mem.Node.Path(), "is not known; known here: %s",
 			strings.Join(slices.Sorted(slices.Values(obj.known)), ", "))
 	}
 }
