fleet: add peer calls, membership and catalogue dissemination

Cause: Entry VMs need calls between each other, a view of who lives, and the catalogue without each watching the store. Change: peer carries net/rpc calls with a shared-key handshake, bounded frames and typed errors. member is a state machine with a driver. spread is a state machine with a driver over a small document interface. Measured: go test -race ./internal/fleet/...: kill, one-way cut, healed partition, leave, restart and losses in fleets of 7 pass in virtual time; peer tests pass over loopback. Dissemination has no test of its own yet.

--- /dev/null
+++ b/internal/fleet/member_test.go
@@ -0,0 +1,192 @@
+package fleet_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"cardamompass"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	// joinTime lets a fleet of 7 find itself.
+	joinTime = 10 * time.Second
+	// detectTime exceeds a round of probes of 7 VMs, the timeouts and the suspicion.
+	detectTime = 10 * time.Second
+)
+
+func run(t *testing.T, size int, fun func(flt *fleet)) {
+	t.Helper()
+	num := seed(t)
+	synctest.Test(t, func(t *testing.T) {
+		flt := newFleet(t, num, size)
+		defer flt.stopAll()
+		flt.advance(joinTime)
+		fun(flt)
+	})
+}
+
+// Guards against a VM that is lost and stays in the views of others, or takes others with it.
+func TestKilledVM(t *testing.T) {
+	run(t, 7, func(flt *fleet) {
+		flt.expectAll("after the join", 1, 2, 3, 4, 5, 6, 7)
+		flt.host(1).stop()
+		flt.advance(detectTime)
+		flt.expect("after the kill", 1, cardamompass.StateDead, 2, 3, 4, 5, 6, 7)
+		flt.expectAll("after the kill", 2, 3, 4, 5, 6, 7)
+	})
+}
+
+// Guards against a live VM that is declared dead because one direction between two VMs is cut.
+func TestOneWayCut(t *testing.T) {
+	run(t, 7, func(flt *fleet) {
+		flt.net.setCut(address(1), address(2), true)
+		for range 60 {
+			flt.advance(time.Second)
+			flt.expect("during the cut", 1, cardamompass.StateAlive, 2, 3, 4, 5, 6, 7)
+			flt.expect("during the cut", 2, cardamompass.StateAlive, 1, 3, 4, 5, 6, 7)
+		}
+	})
+}
+
+// Guards against sides of a partition that stay apart after it has healed.
+func TestHealedPartition(t *testing.T) {
+	for _, tst := range []struct {
+		name string
+		dur  time.Duration
+		heal time.Duration
+	}{
+		{name: "shorter than the retention", dur: time.Minute, heal: 30 * time.Second},
+		{name: "longer than the retention", dur: 20 * time.Minute, heal: time.Minute},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			run(t, 7, func(flt *fleet) {
+				cut := func(on bool) {
+					for _, one := range []int{1, 2, 3} {
+						for _, two := range []int{4, 5, 6, 7} {
+							flt.net.setCut(address(one), address(two), on)
+							flt.net.setCut(address(two), address(one), on)
+						}
+					}
+				}
+				cut(true)
+				flt.advance(tst.dur)
+				flt.expectAll("during the partition", 1, 2, 3)
+				flt.expectAll("during the partition", 4, 5, 6, 7)
+				if tst.dur == time.Minute {
+					flt.expect("during the partition", 4, cardamompass.StateDead, 1, 2, 3)
+				}
+				cut(false)
+				flt.advance(tst.heal)
+				flt.expectAll("after the partition", 1, 2, 3, 4, 5, 6, 7)
+			})
+		})
+	}
+}
+
+// Guards against a planned stop that looks like a failure, and against a successor that is forgotten too early.
+func TestLeave(t *testing.T) {
+	run(t, 7, func(flt *fleet) {
+		hst := flt.host(3)
+		hst.mbr.AnnounceLeaving()
+		flt.advance(5 * time.Second)
+		flt.expect("after the announcement", 3, cardamompass.StateLeaving, 1, 2, 4, 5, 6, 7)
+		if err := hst.mbr.Leave(flt.t.Context(), vid(4)); err != nil {
+			flt.t.Error(err)
+		}
+		hst.stop()
+		for range 84 {
+			flt.advance(10 * time.Second)
+			flt.expect("after the leave", 3, cardamompass.StateLeft, 1, 2, 4, 5, 6, 7)
+		}
+		for _, mbr := range flt.host(7).mbr.Members() {
+			if mbr.VM.ID == vid(3) && mbr.Successor != vid(4) {
+				flt.t.Errorf("successor is %q", mbr.Successor)
+			}
+		}
+		flt.advance(2 * time.Minute)
+		flt.expect("after the retention", 3, -1, 1, 2, 4, 5, 6, 7)
+	})
+}
+
+// Guards against a leaving VM that dies during its planned stop and stays.
+func TestKilledWhileLeaving(t *testing.T) {
+	run(t, 7, func(flt *fleet) {
+		flt.host(3).mbr.AnnounceLeaving()
+		flt.advance(3 * time.Second)
+		flt.host(3).stop()
+		flt.advance(detectTime)
+		flt.expect("after the kill", 3, cardamompass.StateDead, 1, 2, 4, 5, 6, 7)
+	})
+}
+
+// Guards against a restarted VM that is taken for its dead predecessor, and a predecessor that runs on unaware.
+func TestRestart(t *testing.T) {
+	run(t, 7, func(flt *fleet) {
+		old := flt.host(2)
+		flt.start(2, 2)
+		flt.advance(joinTime)
+		flt.expectAll("after the restart", 1, 2, 3, 4, 5, 6, 7)
+		for _, mbr := range flt.host(5).mbr.Members() {
+			if mbr.VM.ID == vid(2) && mbr.VM.Incarnation != 2 {
+				flt.t.Errorf("incarnation %d", mbr.VM.Incarnation)
+			}
+		}
+		select {
+		case <-old.mbr.Superseded():
+		default:
+			flt.t.Error("the old process does not know that it is superseded")
+		}
+		old.stop()
+		flt.advance(detectTime)
+		flt.expectAll("after the end of the old process", 1, 2, 3, 4, 5, 6, 7)
+	})
+}
+
+// Guards against false verdicts on a network that loses and delays messages.
+func TestLossyNetwork(t *testing.T) {
+	run(t, 7, func(flt *fleet) {
+		flt.net.mut.Lock()
+		flt.net.drop, flt.net.delay = 0.05, 40*time.Millisecond
+		flt.net.mut.Unlock()
+		flt.advance(10 * time.Minute)
+		flt.net.mut.Lock()
+		flt.net.drop = 0
+		flt.net.mut.Unlock()
+		flt.advance(detectTime)
+		flt.expectAll("after the losses", 1, 2, 3, 4, 5, 6, 7)
+	})
+}
+
+// Guards against seeds that are asked only once, and against a list of VMs that is not used or removes members.
+func TestJoinWithoutSeeds(t *testing.T) {
+	num := seed(t)
+	synctest.Test(t, func(t *testing.T) {
+		flt := newFleet(t, num, 0)
+		flt.size = 7
+		defer flt.stopAll()
+		for vm := 3; vm <= 7; vm++ {
+			flt.start(vm, 1)
+		}
+		flt.advance(10 * time.Minute)
+		flt.expect("without seeds", 4, -1, 3)
+		flt.host(3).mbr.Hint([]cardamompass.ListedVM{
+			{
+				Name:    string(vid(4)),
+				Address: address(4),
+			},
+		})
+		flt.advance(time.Second)
+		flt.expectAll("after the hint", 3, 4)
+		flt.start(1, 1)
+		flt.advance(time.Minute)
+		flt.expectAll("after a seed started", 1, 3, 4, 5, 6, 7)
+		flt.host(3).mbr.Hint(nil)
+		flt.advance(joinTime)
+		flt.expectAll("after an empty list", 1, 3, 4, 5, 6, 7)
+	})
+}
--- /dev/null
+++ b/internal/fleet/peer/conn.go
@@ -0,0 +1,247 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/atomic"
+	"go.uber.org/zap"
+)
+
+// conn is one connection of a Client.
+type conn struct {
+	cli     *Client
+	address string
+	rcl     *rpc.Client
+	cdc     *clientCodec
+	// writing is held by the call that writes, so that waiting for it ends with the waiter's deadline.
+	writing chan struct{}
+
+	mut     sync.Mutex
+	calls   int
+	lastUse time.Time
+	retired bool
+}
+
+func newConn(cli *Client, address string, con net.Conn) (cnn *conn) {
+	cnn = &conn{
+		cli:     cli,
+		address: address,
+		writing: make(chan struct{}, 1),
+		lastUse: cli.cfg.Clock.Now(),
+	}
+	cnn.cdc = &clientCodec{
+		con:  con,
+		frd:  newFrameReader(con, cli.cfg.MaxMessageBytes),
+		fwr:  newFrameWriter(con, cli.cfg.MaxMessageBytes),
+		done: make(chan struct{}),
+	}
+	cnn.rcl = rpc.NewClientWithCodec(cnn.cdc)
+	release := cli.onStop(cnn.close)
+	cli.wgr.Go(func() {
+		<-cnn.cdc.done
+		release()
+		cnn.retire()
+	})
+	return cnn
+}
+
+// acquire counts a new call and reports whether the connection takes it.
+func (cnn *conn) acquire() (ok bool) {
+	cnn.mut.Lock()
+	defer cnn.mut.Unlock()
+	if cnn.retired {
+		return false
+	}
+	cnn.calls++
+	return true
+}
+
+func (cnn *conn) release() {
+	cnn.mut.Lock()
+	cnn.calls--
+	cnn.lastUse = cnn.cli.cfg.Clock.Now()
+	last := cnn.retired && cnn.calls == 0
+	cnn.mut.Unlock()
+	if last {
+		cnn.close()
+	}
+}
+
+func (cnn *conn) idleFor(now time.Time) time.Duration {
+	cnn.mut.Lock()
+	defer cnn.mut.Unlock()
+	if cnn.calls > 0 {
+		return 0
+	}
+	return now.Sub(cnn.lastUse)
+}
+
+// retire ends the use for new calls. Running calls keep the connection until they end.
+func (cnn *conn) retire() {
+	cnn.mut.Lock()
+	cnn.retired = true
+	last := cnn.calls == 0
+	cnn.mut.Unlock()
+	cnn.cli.forget(cnn)
+	if last {
+		cnn.close()
+	}
+}
+
+func (cnn *conn) close() { _ = cnn.rcl.Close() }
+
+// call makes one call on an acquired connection. Sent reports whether a byte of it may have been sent.
+func (cnn *conn) call(ctx context.Context, method string, args, reply any) (sent bool, err error) {
+	defer cnn.release()
+	select {
+	case cnn.writing <- struct{}{}:
+	case <-ctx.Done():
+		return false, ctx.Err()
+	}
+	deadline, _ := ctx.Deadline()
+	// The reply is decoded into a value of its own, because it may arrive after this call has returned.
+	ret := &returned{
+		value: reflect.New(reflect.TypeOf(reply).Elem()),
+	}
+	snd := &sending{
+		method:   method,
+		args:     args,
+		deadline: deadline,
+	}
+	before := cnn.cdc.received.Load()
+	cll := cnn.rcl.Go(dispatchMethod, snd, ret, make(chan *rpc.Call, 1))
+	<-cnn.writing
+	select {
+	case <-cll.Done:
+	case <-ctx.Done():
+		if cnn.cdc.received.Load() == before {
+			cnn.cli.cfg.Logger.Info("peer-connection-silent",
+				zap.String("address", cnn.address), zap.String("method", method))
+			cnn.retire()
+		}
+		return snd.sent.Load(), ctx.Err()
+	}
+	if cll.Error != nil {
+		return snd.sent.Load(), cll.Error
+	}
+	cnn.cli.cnt.calls.Inc()
+	if ret.failure != nil {
+		return true, ret.failure
+	}
+	reflect.ValueOf(reply).Elem().Set(ret.value.Elem())
+	return true, nil
+}
+
+// sending is the argument that net/rpc hands to the codec.
+type sending struct {
+	method   string
+	args     any
+	deadline time.Time
+	sent     atomic.Bool
+}
+
+// returned is the reply that the codec fills.
+type returned struct {
+	value   reflect.Value
+	failure error
+}
+
+// clientCodec implements rpc.ClientCodec. net/rpc reads from one goroutine and serializes the writes.
+type clientCodec struct {
+	con      net.Conn
+	frd      *frameReader
+	fwr      *frameWriter
+	hdr      replyHeader
+	broken   error
+	received atomic.Uint64
+	done     chan struct{}
+	doneOnce sync.Once
+}
+
+var _ rpc.ClientCodec = (*clientCodec)(nil)
+
+// WriteRequest implements rpc.ClientCodec.
+func (ccd *clientCodec) WriteRequest(req *rpc.Request, body any) (err error) {
+	snd, ok := body.(*sending)
+	if !ok {
+		return errors.New("call without arguments")
+	}
+	hdr := requestHeader{
+		Seq:     req.Seq,
+		Method:  snd.method,
+		Timeout: time.Until(snd.deadline),
+	}
+	if hdr.Timeout <= 0 {
+		return context.DeadlineExceeded
+	}
+	if err = ccd.fwr.encode(hdr, snd.args); err != nil {
+		return err
+	}
+	if err = ccd.con.SetWriteDeadline(snd.deadline); err != nil {
+		return ccd.abort(err)
+	}
+	cnt, err := ccd.fwr.flush()
+	snd.sent.Store(cnt > 0)
+	if err != nil {
+		return ccd.abort(err)
+	}
+	return nil
+}
+
+// abort closes the connection after a failed write, because the peer can't find the next frame.
+func (ccd *clientCodec) abort(err error) error {
+	_ = ccd.con.Close()
+	return err
+}
+
+func (ccd *clientCodec) fail(err error) error {
+	ccd.broken = err
+	ccd.doneOnce.Do(func() { close(ccd.done) })
+	return err
+}
+
+// ReadResponseHeader implements rpc.ClientCodec.
+func (ccd *clientCodec) ReadResponseHeader(rsp *rpc.Response) (err error) {
+	if ccd.broken != nil {
+		return ccd.fail(ccd.broken)
+	}
+	if err = ccd.frd.next(); err != nil {
+		return ccd.fail(err)
+	}
+	ccd.received.Inc()
+	ccd.hdr = replyHeader{}
+	if err = ccd.frd.decode(&ccd.hdr); err != nil {
+		return ccd.fail(errors.Wrap(err, "bad reply header"))
+	}
+	rsp.Seq = ccd.hdr.Seq
+	return nil
+}
+
+// ReadResponseBody implements rpc.ClientCodec.
+func (ccd *clientCodec) ReadResponseBody(body any) (err error) {
+	ret, ok := body.(*returned)
+	if ok {
+		ret.failure = ccd.hdr.failure()
+	}
+	if ccd.hdr.Kind != failureNone {
+		return nil
+	}
+	if !ok {
+		err = ccd.frd.decode(nil)
+	} else {
+		err = ccd.frd.decode(ret.value.Interface())
+	}
+	if err != nil {
+		return ccd.fail(errors.Wrap(err, "bad reply"))
+	}
+	return nil
+}
+
+// Close implements rpc.ClientCodec.
+func (ccd *clientCodec) Close() (err error) { return ccd.con.Close() }
