--- a/internal/fleet/member/calls.go
+++ b/internal/fleet/member/calls.go
@@ -19,11 +19,12 @@
 // Ping answers a probe.
 func (svc *Service) Ping(args Message, reply *Message) (err error) {
 	agt := svc.agt
-	agt.consume(args)
 	effects := agt.apply(PingArrived{
 		Now:     agt.cfg.Clock.Now(),
 		Message: args,
 	})
+	// Payloads follow the records, so that a subsystem finds their sender among the members.
+	agt.consume(args)
 	*reply = agt.reply(effects)
 	agt.start(effects)
 	return nil
@@ -32,11 +33,11 @@
 // PingReq probes the target of the request and tells whether it answered.
 func (svc *Service) PingReq(ctx context.Context, args RelayRequest, reply *RelayReply) (err error) {
 	agt := svc.agt
-	agt.consume(args.Message)
 	effects := agt.apply(RelayArrived{
 		Now:     agt.cfg.Clock.Now(),
 		Request: args,
 	})
+	agt.consume(args.Message)
 	var rest []Effect
 	for _, eff := range effects {
 		png, ok := eff.(Ping)
@@ -102,12 +103,12 @@
 		}))
 		return nil
 	}
-	agt.consume(reply)
 	agt.start(agt.apply(Answered{
 		Now:     agt.cfg.Clock.Now(),
 		Probe:   png.Probe,
 		Message: reply,
 	}))
+	agt.consume(reply)
 	return &reply
 }
 
@@ -126,7 +127,6 @@
 		}))
 		return
 	}
-	agt.consume(reply.Message)
 	reply.Message.Updates = append(reply.Message.Updates, Update{
 		Member: reply.Target,
 	})
@@ -135,6 +135,7 @@
 		Probe:   req.Probe,
 		Message: reply.Message,
 	}))
+	agt.consume(reply.Message)
 }
 
 func (agt *Agent) attached() []Carrier {
--- a/internal/fleet/member_test.go
+++ b/internal/fleet/member_test.go
@@ -13,17 +13,19 @@
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 const (
+	fleetSize = 7
 	// joinTime lets a fleet of 7 find itself.
 	joinTime = 10 * time.Second
 	// detectTime exceeds a round of probes of 7 VMs, the timeouts and the suspicion.
 	detectTime = 10 * time.Second
 )
 
-func run(t *testing.T, size int, fun func(flt *fleet)) {
+// run starts a fleet of 7 in virtual time.
+func run(t *testing.T, fun func(flt *fleet)) {
 	t.Helper()
 	num := seed(t)
 	synctest.Test(t, func(t *testing.T) {
-		flt := newFleet(t, num, size)
+		flt := newFleet(t, num, fleetSize)
 		defer flt.stopAll()
 		flt.advance(joinTime)
 		fun(flt)
@@ -32,7 +34,7 @@
 
 // Guards against a VM that is lost and stays in the views of others, or takes others with it.
 func TestKilledVM(t *testing.T) {
-	run(t, 7, func(flt *fleet) {
+	run(t, func(flt *fleet) {
 		flt.expectAll("after the join", 1, 2, 3, 4, 5, 6, 7)
 		flt.host(1).stop()
 		flt.advance(detectTime)
@@ -43,7 +45,7 @@
 
 // Guards against a live VM that is declared dead because one direction between two VMs is cut.
 func TestOneWayCut(t *testing.T) {
-	run(t, 7, func(flt *fleet) {
+	run(t, func(flt *fleet) {
 		flt.net.setCut(address(1), address(2), true)
 		for range 60 {
 			flt.advance(time.Second)
@@ -64,7 +66,7 @@
 		{name: "longer than the retention", dur: 20 * time.Minute, heal: time.Minute},
 	} {
 		t.Run(tst.name, func(t *testing.T) {
-			run(t, 7, func(flt *fleet) {
+			run(t, func(flt *fleet) {
 				cut := func(on bool) {
 					for _, one := range []int{1, 2, 3} {
 						for _, two := range []int{4, 5, 6, 7} {
@@ -90,7 +92,7 @@
 
 // Guards against a planned stop that looks like a failure, and against a successor that is forgotten too early.
 func TestLeave(t *testing.T) {
-	run(t, 7, func(flt *fleet) {
+	run(t, func(flt *fleet) {
 		hst := flt.host(3)
 		hst.mbr.AnnounceLeaving()
 		flt.advance(5 * time.Second)
@@ -115,7 +117,7 @@
 
 // Guards against a leaving VM that dies during its planned stop and stays.
 func TestKilledWhileLeaving(t *testing.T) {
-	run(t, 7, func(flt *fleet) {
+	run(t, func(flt *fleet) {
 		flt.host(3).mbr.AnnounceLeaving()
 		flt.advance(3 * time.Second)
 		flt.host(3).stop()
@@ -126,7 +128,7 @@
 
 // Guards against a restarted VM that is taken for its dead predecessor, and a predecessor that runs on unaware.
 func TestRestart(t *testing.T) {
-	run(t, 7, func(flt *fleet) {
+	run(t, func(flt *fleet) {
 		old := flt.host(2)
 		flt.start(2, 2)
 		flt.advance(joinTime)
@@ -149,7 +151,7 @@
 
 // Guards against false verdicts on a network that loses and delays messages.
 func TestLossyNetwork(t *testing.T) {
-	run(t, 7, func(flt *fleet) {
+	run(t, func(flt *fleet) {
 		flt.net.mut.Lock()
 		flt.net.drop, flt.net.delay = 0.05, 40*time.Millisecond
 		flt.net.mut.Unlock()
@@ -167,7 +169,7 @@
 	num := seed(t)
 	synctest.Test(t, func(t *testing.T) {
 		flt := newFleet(t, num, 0)
-		flt.size = 7
+		flt.size = fleetSize
 		defer flt.stopAll()
 		for vm := 3; vm <= 7; vm++ {
 			flt.start(vm, 1)
--- a/internal/fleet/net_test.go
+++ b/internal/fleet/net_test.go
@@ -178,8 +178,8 @@
 }
 
 // start runs a VM; all VMs have the first two as seeds.
-func (flt *fleet) start(num int, inc cardamompass.Incarnation) (hst *host) {
-	hst = &host{
+func (flt *fleet) start(num int, inc cardamompass.Incarnation) {
+	hst := &host{
 		net: flt.net,
 		vm: cardamompass.VM{
 			ID:          vid(num),
@@ -228,7 +228,6 @@
 	flt.net.mut.Unlock()
 	mbr.Start()
 	spr.Start()
-	return hst
 }
 
 func (flt *fleet) host(num int) *host {
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -140,9 +140,12 @@
 		if cerr == nil || sent {
 			return cerr
 		}
-		if fresh || try > 0 || ctx.Err() != nil || errors.Is(cerr, errTooLarge) {
+		var ece *encodeError
+		if fresh || try > 0 || ctx.Err() != nil || errors.As(cerr, &ece) {
 			return unsent(address, cerr)
 		}
+		// The second try must not get the same connection, whose end may not have been noticed elsewhere yet.
+		cnn.retire()
 	}
 }
 
--- a/internal/fleet/peer/conn.go
+++ b/internal/fleet/peer/conn.go
@@ -146,6 +146,11 @@
 	sent     atomic.Bool
 }
 
+// encodeError reports arguments that can't be sent. The connection is not at fault.
+type encodeError struct{ err error }
+
+func (err *encodeError) Error() string { return err.err.Error() }
+
 // returned is the reply that the codec fills.
 type returned struct {
 	value   reflect.Value
@@ -181,7 +186,9 @@
 		return context.DeadlineExceeded
 	}
 	if err = ccd.fwr.encode(hdr, snd.args); err != nil {
-		return err
+		return &encodeError{
+			err: err,
+		}
 	}
 	if err = ccd.con.SetWriteDeadline(snd.deadline); err != nil {
 		return ccd.abort(err)
@@ -233,12 +240,12 @@
 		return nil
 	}
 	if !ok {
-		err = ccd.frd.decode(nil)
-	} else {
-		err = ccd.frd.decode(ret.value.Interface())
+		_ = ccd.frd.decode(nil)
+		return nil
 	}
-	if err != nil {
-		return ccd.fail(errors.Wrap(err, "bad reply"))
+	// A reply that does not fit fails its own call only, because the frame delimits it.
+	if err = ccd.frd.decode(ret.value.Interface()); err != nil {
+		ret.failure = errors.Wrap(err, "bad reply")
 	}
 	return nil
 }
--- a/internal/fleet/peer/dispatch.go
+++ b/internal/fleet/peer/dispatch.go
@@ -183,12 +183,15 @@
 				Reason: name + " is not registered",
 			}
 		}
-		return scd.discard()
+		if err = scd.frd.decode(nil); err != nil {
+			return scd.refuse(name, err)
+		}
+		return nil
 	}
 	// Arguments that are declared as pointers decode into a new value of the element type.
 	args := reflect.New(mth.args)
 	if err = scd.frd.decode(args.Interface()); err != nil {
-		return scd.fail(errors.Wrapf(err, "bad arguments of %s", name))
+		return scd.refuse(name, err)
 	}
 	if mth.args.Kind() == reflect.Pointer && args.Elem().IsNil() {
 		args.Elem().Set(reflect.New(mth.args.Elem()))
@@ -202,11 +205,12 @@
 	return nil
 }
 
-func (scd *serverCodec) discard() (err error) {
-	if err = scd.frd.decode(nil); err != nil {
-		return scd.fail(errors.Wrap(err, "bad arguments"))
-	}
-	return nil
+// refuse makes net/rpc answer with an error. The connection stays open, because the frame delimits the bad arguments
+// and a caller of another version must not disturb the other calls on its connection.
+func (scd *serverCodec) refuse(name string, err error) error {
+	scd.srv.cfg.Logger.Warn("peer-arguments-refused",
+		zap.Stringer("from", scd.con.RemoteAddr()), zap.String("method", name), zap.Error(err))
+	return errors.Wrapf(err, "do not fit %s", name)
 }
 
 // WriteResponse implements rpc.ServerCodec.
@@ -218,7 +222,10 @@
 	out, ok := body.(*Outbound)
 	switch {
 	case rsp.Error != "" || !ok:
-		hdr = hdr.withFailure(errors.New(rsp.Error))
+		hdr = hdr.withFailure(&cardamompass.InvalidError{
+			Field:  "arguments",
+			Reason: rsp.Error,
+		})
 	case out.err != nil:
 		hdr = hdr.withFailure(out.err)
 	}
--- a/internal/fleet/peer/peer_test.go
+++ b/internal/fleet/peer/peer_test.go
@@ -35,6 +35,12 @@
 	return ctx.Err()
 }
 
+// Hang ignores the caller's deadline, as a peer that no longer answers.
+func (ech *echo) Hang(text, *text) error {
+	<-ech.release
+	return nil
+}
+
 func (*echo) Fail(args text, _ *text) error {
 	switch args.Text {
 	case "not-run":
@@ -119,10 +125,17 @@
 		t.Errorf("a panic must leave the outcome open, got %v", err)
 	}
 	var ine *cardamompass.InvalidError
+	var pue *cardamompass.PeerUnsentError
+	if err := cli.Call(t.Context(), srv.Address(), "Echo.Say", 5, &text{}); !errors.As(err, &ine) {
+		t.Errorf("arguments of another type: got %v", err)
+	}
+	var num int
+	if err := cli.Call(t.Context(), srv.Address(), "Echo.Say", text{Text: "hi"}, &num); err == nil || errors.As(err, &pue) {
+		t.Errorf("reply of another type: got %v", err)
+	}
 	if err := call("invalid"); !errors.As(err, &ine) || ine.Field != "path" {
 		t.Errorf("invalid: got %v", err)
 	}
-	var pue *cardamompass.PeerUnsentError
 	var rem *peer.RemoteError
 	if err := call("unsent"); errors.As(err, &pue) || !errors.As(err, &rem) {
 		t.Errorf("unsent call of the peer: got %v", err)
@@ -134,7 +147,7 @@
 	if err := cli.Call(t.Context(), srv.Address(), "Echo.Say", text{Text: "hi"}, &reply); err != nil || reply.Text != "hi" {
 		t.Errorf("connection must survive errors: %v, %q", err, reply.Text)
 	}
-	if trf := srv.Traffic(); trf.Connections != 1 || trf.Calls != 7 || trf.BytesIn != cli.Traffic().BytesOut {
+	if trf := srv.Traffic(); trf.Connections != 1 || trf.Calls != 9 || trf.BytesIn != cli.Traffic().BytesOut {
 		t.Errorf("server counted %+v, client %+v", trf, cli.Traffic())
 	}
 }
@@ -228,7 +241,7 @@
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	if err := cli.Call(ctx, srv.Address(), "Echo.Wait", text{}, &text{}); !errors.Is(err, context.DeadlineExceeded) {
+	if err := cli.Call(ctx, srv.Address(), "Echo.Hang", text{}, &text{}); !errors.Is(err, context.DeadlineExceeded) {
 		t.Fatalf("got %v", err)
 	}
 	close(ech.release)
--- a/internal/fleet/spread/agent.go
+++ b/internal/fleet/spread/agent.go
@@ -63,7 +63,6 @@
 	mut       sync.Mutex
 	cor       *Core[D]
 	subs      map[chan struct{}]struct{}
-	addresses map[cardamompass.VMID]string
 	stopWatch context.CancelFunc
 	started   bool
 	closed    bool
@@ -222,21 +221,13 @@
 	evt := PeersChanged{
 		Now: agt.cfg.Clock.Now(),
 	}
-	addresses := map[cardamompass.VMID]string{}
 	self := agt.cfg.Members.Self()
 	evt.Leaving = self.State == cardamompass.StateLeaving || self.State == cardamompass.StateLeft
 	for _, mbr := range agt.cfg.Members.Members() {
-		if mbr.VM.ID == self.VM.ID || !mbr.Serving() {
-			continue
-		}
-		addresses[mbr.VM.ID] = mbr.VM.PeerAddress
-		if mbr.State != cardamompass.StateLeaving {
+		if mbr.VM.ID != self.VM.ID && mbr.Serving() && mbr.State != cardamompass.StateLeaving {
 			evt.Serving = append(evt.Serving, mbr.VM.ID)
 		}
 	}
-	agt.mut.Lock()
-	agt.addresses = addresses
-	agt.mut.Unlock()
 	agt.handle(evt)
 }
 
@@ -308,10 +299,14 @@
 	}
 }
 
+// address returns the peer address of a member, empty when it is not known.
 func (agt *Agent[D]) address(vid cardamompass.VMID) string {
-	agt.mut.Lock()
-	defer agt.mut.Unlock()
-	return agt.addresses[vid]
+	for _, mbr := range agt.cfg.Members.Members() {
+		if mbr.VM.ID == vid {
+			return mbr.VM.PeerAddress
+		}
+	}
+	return ""
 }
 
 func (agt *Agent[D]) read(call uint64, val cardamompass.Value, err error) {
