steer: add the first version of the steering decisions

Change: add route (decision, naive baseline, subset), health (target state, prober), queue (admission), budget (retries and hedges) and guard (content that crashes its targets).

--- /dev/null
+++ b/internal/steer/budget/hedge.go
@@ -0,0 +1,111 @@
+package budget
+
+import (
+	"time"
+
+	"cardamompass"
+)
+
+const (
+	// MinHedgeDelay bounds the delay from below, so that timer and scheduling delays of a busy VM do not hedge answers
+	// that take well under a millisecond.
+	MinHedgeDelay = 2 * time.Millisecond
+	// MaxHedgeDelay bounds the delay from above, so that a p95 measured during an incident does not disable hedges.
+	MaxHedgeDelay = time.Second
+	// hedgeFactor times the usual latency is the least delay. In a narrow distribution the p95 lies close to the usual
+	// latency, and hedges at that point spend the budget on requests that are not late.
+	hedgeFactor = 2
+)
+
+// HedgeDelay returns the time after which a request may be hedged, from the 95th percentile and the usual value of
+// the service's recent latency. It is MaxHedgeDelay while these are not known.
+func HedgeDelay(p95, usual time.Duration) (dly time.Duration) {
+	if p95 <= 0 {
+		return MaxHedgeDelay
+	}
+	dly = max(p95, hedgeFactor*usual, MinHedgeDelay)
+	return min(dly, MaxHedgeDelay)
+}
+
+// HedgeReason says why a request may or may not be hedged.
+type HedgeReason uint8
+
+const (
+	// HedgeAllowed lets the hedge go, if the budget has a token.
+	HedgeAllowed HedgeReason = iota
+	// HedgeNotIdempotent forbids the hedge of a request that must run at most once.
+	HedgeNotIdempotent
+	// HedgeNotShort forbids the hedge of a long request.
+	HedgeNotShort
+	// HedgeTooEarly forbids a hedge before the hedge delay.
+	HedgeTooEarly
+	// HedgeNoRoom forbids a hedge for which no region has room.
+	HedgeNoRoom
+	// HedgeNoTime forbids a hedge that cannot finish before the deadline.
+	HedgeNoTime
+	// HedgeNoBudget forbids a hedge because the budget is used up.
+	HedgeNoBudget
+)
+
+// String returns the kebab-case name of the reason.
+func (rsn HedgeReason) String() (name string) {
+	switch rsn {
+	case HedgeAllowed:
+		return "allowed"
+	case HedgeNotIdempotent:
+		return "not-idempotent"
+	case HedgeNotShort:
+		return "not-short"
+	case HedgeTooEarly:
+		return "too-early"
+	case HedgeNoRoom:
+		return "no-room"
+	case HedgeNoTime:
+		return "no-time"
+	case HedgeNoBudget:
+		return "no-budget"
+	default:
+		return "invalid"
+	}
+}
+
+// HedgeInput is what the decision about a hedge depends on.
+type HedgeInput struct {
+	Idempotent bool
+	Class      cardamompass.Class
+	// Age is the time since the first attempt began, Delay the result of HedgeDelay.
+	Age   time.Duration
+	Delay time.Duration
+	// Left is the time until the deadline, Usual the usual latency of the service.
+	Left  time.Duration
+	Usual time.Duration
+	// Room reports whether a decision found a candidate for the hedge in a region with room.
+	Room bool
+}
+
+// DecideHedge returns whether the request may be hedged, without the budget.
+func DecideHedge(inp HedgeInput) (rsn HedgeReason) {
+	switch {
+	case !inp.Idempotent:
+		return HedgeNotIdempotent
+	case inp.Class != cardamompass.ClassShort:
+		return HedgeNotShort
+	case inp.Age < inp.Delay:
+		return HedgeTooEarly
+	case inp.Left < inp.Usual:
+		return HedgeNoTime
+	case !inp.Room:
+		return HedgeNoRoom
+	default:
+		return HedgeAllowed
+	}
+}
+
+// TryHedge decides about a hedge and takes it from the budget. The budget is charged only when all else allows it.
+func (bud *Budget) TryHedge(inp HedgeInput, now time.Time) (rsn HedgeReason) {
+	rsn = DecideHedge(inp)
+	if rsn == HedgeAllowed && !bud.TakeExtra(now) {
+		return HedgeNoBudget
+	}
+	return rsn
+}
--- /dev/null
+++ b/internal/steer/guard/guard.go
@@ -0,0 +1,204 @@
+// Package guard finds requests whose content crashes the targets that run them, and refuses these.
+//
+// Model: when a target crashes, every content in flight on it becomes a suspect. A suspect runs only on a target without
+// another suspect in flight from this VM, and one copy at a time. An answer clears it. When the target of such a run
+// crashes, the suspect is blocked for 10 minutes. Each crash yields a Report, which must reach the other VMs before the
+// caller learns the outcome.
+//
+// Guarantees, with reports delivered: a caller that re-sends after each outcome crashes at most two targets, whichever
+// VMs it uses; copies that run at the same moment on different VMs add at most one crash each. A content whose run as a
+// suspect ends with an answer is not blocked. When the reports of a VM are lost, the bound holds for each VM on its
+// own: at most two crashes for each VM that has not heard of the content, 14 for 7 VMs. A VM keeps what it saw itself.
+//
+// Limits: memory is bounded by Config.MaxRecords; when that many contents are suspects or blocked, the oldest suspect,
+// or else the block that ends first, is forgotten and may crash two more targets. A content that crashes only some of
+// its runs is cleared by each run that succeeds.
+//
+// A Guard is safe for concurrent use. It does no I/O and reads no clock.
+package guard
+
+import (
+	"sync"
+	"time"
+
+	"cardamompass"
+)
+
+const (
+	// DefaultLife is the time for which a content stays a suspect or blocked.
+	DefaultLife = 10 * time.Minute
+	// DefaultMaxRecords bounds the suspects and blocked contents of a VM. One crash of a target makes at most some
+	// tens of suspects, so that this covers about a hundred crashes in ten minutes.
+	DefaultMaxRecords = 4096
+	// linger is the time for which a run without an answer still counts as in flight when its target crashes. The
+	// connections of a crashed target break one by one, and the crash is known only after a new connection was refused.
+	linger = 2 * time.Second
+	// maxMarks bounds the marks of one record. More crashes than this of one content before its first run as a suspect
+	// need as many copies at the same moment.
+	maxMarks = 16
+)
+
+// Config describes a guard.
+type Config struct {
+	// Self and Incarnation identify the VM's process in reports.
+	Self        cardamompass.VMID
+	Incarnation cardamompass.Incarnation
+	// Life and MaxRecords replace the defaults when they are positive.
+	Life       time.Duration
+	MaxRecords int
+}
+
+// Action is what to do with a request.
+type Action uint8
+
+const (
+	// Run lets the request run on the target. It counts as in flight until Succeeded, Ended or Crashed.
+	Run Action = iota
+	// WaitCopy asks to wait until another copy of the suspect has ended.
+	WaitCopy
+	// WaitNeighbour asks for another target, or to wait until another suspect on this target has ended.
+	WaitNeighbour
+	// Refuse says that the content is blocked.
+	Refuse
+)
+
+// String returns the kebab-case name of the action.
+func (act Action) String() (name string) {
+	switch act {
+	case Run:
+		return "run"
+	case WaitCopy:
+		return "wait-copy"
+	case WaitNeighbour:
+		return "wait-neighbour"
+	case Refuse:
+		return "refuse"
+	default:
+		return "invalid"
+	}
+}
+
+// Verdict is the answer of Admit.
+type Verdict struct {
+	Action Action
+	// Reason tells a caller or operator why; empty for Run.
+	Reason string
+	// Until is the end of the block for Refuse, zero otherwise.
+	Until time.Time
+	// Suspect reports that the request runs as a suspect and must not be hedged.
+	Suspect bool
+}
+
+// Mark identifies one suspicion: one crash that one VM saw.
+type Mark struct {
+	VM          cardamompass.VMID
+	Incarnation cardamompass.Incarnation
+	Seq         uint64
+}
+
+// Suspicion reports a content that was in flight on a target that crashed.
+type Suspicion struct {
+	Key    Key
+	Mark   Mark
+	Target cardamompass.TargetID
+	// Left is the time until the suspicion ends, so that the clocks of the VMs need not agree.
+	Left time.Duration
+}
+
+// Block reports a blocked content.
+type Block struct {
+	Key  Key
+	Left time.Duration
+}
+
+// Clear reports that a suspect ran and its target did not crash. It ends the suspicions that the reporting VM knew.
+type Clear struct {
+	Key   Key
+	Marks []Mark
+}
+
+// Report is what one VM tells the others. Merging a report twice has no further effect.
+type Report struct {
+	Suspicions []Suspicion
+	Blocks     []Block
+	Clears     []Clear
+}
+
+// Empty reports whether there is nothing to send.
+func (rep *Report) Empty() (yes bool) {
+	return len(rep.Suspicions) == 0 && len(rep.Blocks) == 0 && len(rep.Clears) == 0
+}
+
+// Entry is one suspect or blocked content, for the state dump.
+type Entry struct {
+	Key     Key
+	Blocked bool
+	Until   time.Time
+	Marks   int
+}
+
+// Guard is the guard of one VM.
+type Guard struct {
+	mut sync.Mutex
+	sta state
+}
+
+// New returns a guard without suspects.
+func New(cfg Config) (grd *Guard) {
+	if cfg.Life <= 0 {
+		cfg.Life = DefaultLife
+	}
+	if cfg.MaxRecords <= 0 {
+		cfg.MaxRecords = DefaultMaxRecords
+	}
+	return &Guard{
+		sta: newState(cfg),
+	}
+}
+
+// Admit decides whether a request with the content may run on the target now, and counts it as in flight if so.
+func (grd *Guard) Admit(key Key, tid cardamompass.TargetID, now time.Time) (ver Verdict) {
+	grd.mut.Lock()
+	defer grd.mut.Unlock()
+	return grd.sta.admit(key, tid, now)
+}
+
+// Succeeded ends a run with an answer of the target, whatever its status. A shed request is Ended instead, since the
+// target did not run it. The report is empty unless the content was a suspect.
+func (grd *Guard) Succeeded(key Key, tid cardamompass.TargetID, now time.Time) (rep Report) {
+	grd.mut.Lock()
+	defer grd.mut.Unlock()
+	return grd.sta.succeeded(key, tid, now)
+}
+
+// Ended ends a run without an answer: it was shed, cancelled, timed out or its connection broke. For 2 s it still
+// counts as in flight when the target crashes.
+func (grd *Guard) Ended(key Key, tid cardamompass.TargetID, now time.Time) {
+	grd.mut.Lock()
+	defer grd.mut.Unlock()
+	grd.sta.ended(key, tid, now)
+}
+
+// Crashed records that the target crashed: a connection broke before its answer at the time broke, and a new one was
+// refused. The contents in flight are those that were admitted up to that time and have no answer. Runs that began
+// later are not touched, so that several connections may report one crash. The report must be sent to all peers before
+// any caller learns the outcome.
+func (grd *Guard) Crashed(tid cardamompass.TargetID, broke, now time.Time) (rep Report) {
+	grd.mut.Lock()
+	defer grd.mut.Unlock()
+	return grd.sta.crashed(tid, broke, now)
+}
+
+// Merge takes over the report of a peer.
+func (grd *Guard) Merge(rep Report, now time.Time) {
+	grd.mut.Lock()
+	defer grd.mut.Unlock()
+	grd.sta.merge(rep, now)
+}
+
+// Entries returns the suspects and blocked contents in the order of their keys.
+func (grd *Guard) Entries(now time.Time) (ents []Entry) {
+	grd.mut.Lock()
+	defer grd.mut.Unlock()
+	return grd.sta.entries(now)
+}
--- /dev/null
+++ b/internal/steer/health/track.go
@@ -0,0 +1,259 @@
+// Package health keeps the state of each target as one entry VM knows it.
+//
+// A Tracker counts the VM's own requests in flight with their start times, keeps recent latencies, and collects signs
+// that a target leaves: the VM list, a drain answer, the health endpoint, the report of a peer. Each sign has a life time
+// of its own. From the first sign until the last one has ended, and while consecutive requests fail, the target gets no
+// new work; then it is ramped up like a cold target. Load reports are late and only make decisions more careful.
+//
+// Snapshot gives the state to package route. Begin checks the limits of a decision again under the lock, so that
+// concurrent decisions on the same snapshot never exceed them. Methods of the request path take the time from the
+// caller, allocate nothing once warm, and are safe for concurrent use. A Prober asks the targets for health and load.
+package health
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cardamompass"
+	"cardamompass/internal/steer/route"
+)
+
+// Result says how a request on a target ended.
+type Result uint8
+
+const (
+	// Answered is a whole answer of the target.
+	Answered Result = iota
+	// Failed is a refused or broken connection, or no answer before the deadline.
+	Failed
+	// Shed is the target's statement that it did not run the request.
+	Shed
+	// Cancelled is a request that the caller gave up, or a hedge that lost.
+	Cancelled
+	// HedgeLost is a first attempt that was cancelled because its hedge was answered sooner.
+	HedgeLost
+)
+
+// Config describes a tracker.
+type Config struct {
+	// Self is the VM, for the rendezvous order.
+	Self cardamompass.VMID
+	// Announce is called with each new own sign, outside of all locks, in the goroutine that reported the sign. It must
+	// send the sign to the peers at once, and must not wait for their answers. It may be nil.
+	Announce func(rep LeavingReport)
+}
+
+// Tracker holds the state of all targets. It is safe for concurrent use.
+type Tracker struct {
+	cfg Config
+	set sync.Mutex // serializes SetTargets
+	idx atomic.Pointer[index]
+}
+
+// index finds targets and services. It is replaced as a whole.
+type index struct {
+	targets  map[cardamompass.TargetID]*target
+	services map[cardamompass.ServiceName]*service
+}
+
+type service struct {
+	lts  *latencies
+	grps []*group
+}
+
+// group is the targets of one service in one region, which share a limit.
+type group struct {
+	reg  cardamompass.Region
+	lts  *latencies
+	mut  sync.Mutex
+	tgts []*target
+	free *flight
+}
+
+// New returns a tracker without targets.
+func New(cfg Config) (trk *Tracker) {
+	trk = &Tracker{
+		cfg: cfg,
+	}
+	trk.idx.Store(&index{})
+	return trk
+}
+
+// Token stands for one request in flight. The zero Token stands for none.
+type Token struct {
+	tgt *target
+	flt *flight
+	use uint64
+}
+
+// Begin counts a request as in flight on the target, without regard to limits. It returns the zero Token for an unknown
+// target.
+func (trk *Tracker) Begin(tid cardamompass.TargetID, now time.Time) (tok Token) {
+	tgt := trk.idx.Load().targets[tid]
+	if tgt == nil {
+		return Token{}
+	}
+	tgt.grp.mut.Lock()
+	defer tgt.grp.mut.Unlock()
+	return tgt.begin(now)
+}
+
+// BeginWithin counts a request as in flight on the candidate unless the target has become avoided or a limit of the
+// decision is reached by now.
+func (trk *Tracker) BeginWithin(cnd *route.Candidate, now time.Time) (tok Token, ok bool) {
+	tgt := trk.idx.Load().targets[cnd.Target]
+	if tgt == nil {
+		return Token{}, false
+	}
+	grp := tgt.grp
+	grp.mut.Lock()
+	defer grp.mut.Unlock()
+	if tgt.refresh(now) || tgt.fls.count >= cnd.Limit {
+		return Token{}, false
+	}
+	usable, all := 0, 0
+	for _, one := range grp.tgts {
+		all += one.fls.count
+		if !one.avoided {
+			usable += one.fls.count
+		}
+	}
+	if usable >= cnd.RegionLimit || all >= cnd.Share {
+		return Token{}, false
+	}
+	return tgt.begin(now), true
+}
+
+func (tgt *target) begin(now time.Time) (tok Token) {
+	flt := tgt.grp.free
+	if flt == nil {
+		flt = &flight{}
+	} else {
+		tgt.grp.free = flt.next
+	}
+	flt.start = now
+	flt.use++
+	tgt.fls.add(flt)
+	return Token{
+		tgt: tgt,
+		flt: flt,
+		use: flt.use,
+	}
+}
+
+// Done ends a request that Begin or BeginWithin counted. A second call for the same token has no effect.
+func (trk *Tracker) Done(tok Token, now time.Time, res Result) {
+	if tok.tgt == nil {
+		return
+	}
+	grp := tok.tgt.grp
+	usual := grp.lts.get().Usual
+	grp.mut.Lock()
+	if tok.flt.use != tok.use {
+		grp.mut.Unlock()
+		return
+	}
+	age := now.Sub(tok.flt.start)
+	tok.tgt.end(tok.flt)
+	tok.tgt.judge(res, age, usual, now)
+	switch res {
+	case Answered:
+		tok.tgt.succeeded(now)
+	case Failed:
+		tok.tgt.failed(now)
+	default:
+	}
+	grp.mut.Unlock()
+	if res == Answered {
+		grp.lts.record(age, now)
+	}
+}
+
+func (tgt *target) end(flt *flight) {
+	tgt.fls.remove(flt)
+	flt.use++
+	flt.next = tgt.grp.free
+	tgt.grp.free = flt
+}
+
+// Mark records a sign that the target leaves. A new own sign is announced.
+func (trk *Tracker) Mark(tid cardamompass.TargetID, sgn Sign, now time.Time) {
+	if trk.update(tid, now, func(tgt *target) (fresh bool) {
+		tgt.sgs, fresh = tgt.sgs.with(sgn, now)
+		return fresh
+	}) && trk.cfg.Announce != nil {
+		trk.cfg.Announce(LeavingReport{
+			Target: tid,
+			Sign:   sgn,
+		})
+	}
+}
+
+// Probed records that the health endpoint answered and names the target serving or cold.
+func (trk *Tracker) Probed(tid cardamompass.TargetID, cold bool, now time.Time) {
+	trk.update(tid, now, func(tgt *target) (fresh bool) {
+		tgt.setProbed(cold, now)
+		return false
+	})
+}
+
+// ProbeFailed records that the health endpoint gave no answer.
+func (trk *Tracker) ProbeFailed(tid cardamompass.TargetID, now time.Time) {
+	trk.update(tid, now, func(tgt *target) (fresh bool) {
+		tgt.failed(now)
+		return false
+	})
+}
+
+// Load records a load report. It is a hint for 5 s.
+func (trk *Tracker) Load(tid cardamompass.TargetID, inFlight, slots int, now time.Time) {
+	trk.update(tid, now, func(tgt *target) (fresh bool) {
+		tgt.setLoad(inFlight, slots, now)
+		return false
+	})
+}
+
+// update changes the state of one target under its lock, and notes whether it is avoided afterwards.
+func (trk *Tracker) update(tid cardamompass.TargetID, now time.Time, change func(tgt *target) bool) (fresh bool) {
+	tgt := trk.idx.Load().targets[tid]
+	if tgt == nil {
+		return false
+	}
+	tgt.grp.mut.Lock()
+	defer tgt.grp.mut.Unlock()
+	fresh = change(tgt)
+	tgt.refresh(now)
+	return fresh
+}
+
+// Snapshot returns the state of the service's targets. The memory of old is reused, and old's Regions and VMRegion are
+// kept; the caller fills these.
+func (trk *Tracker) Snapshot(svc cardamompass.ServiceName, now time.Time, old route.Snapshot) (snp route.Snapshot) {
+	snp = old
+	snp.Now = now
+	snp.Usual = 0
+	snp.Targets = old.Targets[:0]
+	srv := trk.idx.Load().services[svc]
+	if srv == nil {
+		return snp
+	}
+	snp.Usual = srv.lts.get().Usual
+	for _, grp := range srv.grps {
+		grp.mut.Lock()
+		for _, tgt := range grp.tgts {
+			snp.Targets = append(snp.Targets, tgt.state(now))
+		}
+		grp.mut.Unlock()
+	}
+	return snp
+}
+
+// Latency returns the recent latency of the service, zero values while it is not known.
+func (trk *Tracker) Latency(svc cardamompass.ServiceName) (lat Latency) {
+	srv := trk.idx.Load().services[svc]
+	if srv == nil {
+		return Latency{}
+	}
+	return srv.lts.get()
+}
