steer: add the simulation against the naive baseline; weigh load reports as a tie-break only

Cause: the first policy let late load reports outrank own in-flight counts. All VMs left the same targets at once and crowded the others, which collapsed the fleet at 70% load with two stragglers. Change: add a discrete-event simulation of 7 VMs and 20 targets. A report of overload only breaks ties. A target whose last requests were late gets one request at a time until it answers in time.

--- a/internal/steer/route/decide.go
+++ b/internal/steer/route/decide.go
@@ -98,7 +98,6 @@
 
 const (
 	gradeGood grade = iota
-	gradeOverloaded
 	gradeStraggler
 )
 
@@ -177,14 +176,10 @@
 }
 
 func gradeOf(tgt *TargetState, usual time.Duration, now time.Time) (grd grade) {
-	switch {
-	case tgt.Straggler(usual, now):
+	if tgt.Straggler(usual, now) {
 		return gradeStraggler
-	case tgt.Overloaded:
-		return gradeOverloaded
-	default:
-		return gradeGood
 	}
+	return gradeGood
 }
 
 // best returns the position of the best entry that is not taken, or -1. prev is the index of the previous candidate,
@@ -213,8 +208,6 @@
 	switch {
 	case ens[pos].grade == gradeStraggler:
 		return pos, ReasonOnlyStraggler
-	case ens[pos].grade == gradeOverloaded:
-		return pos, ReasonOnlyOverloaded
 	case domain:
 		return pos, ReasonOtherDomain
 	case tie:
@@ -224,13 +217,16 @@
 	}
 }
 
-// compare orders by grade, by leaving the failure domain of the previous candidate, and by own in-flight count
+// compare orders by grade, among stragglers by the number of late requests, by leaving the failure domain of the previous candidate, and by own in-flight count
 // relative to slots. byDomain reports that the failure domain decided.
 func (pck *picker) compare(one, two *entry, prev int) (cmp int, byDomain bool) {
 	if one.grade != two.grade {
 		return int(one.grade) - int(two.grade), false
 	}
 	tg1, tg2 := &pck.snp.Targets[one.idx], &pck.snp.Targets[two.idx]
+	if one.grade == gradeStraggler && tg1.Late != tg2.Late {
+		return tg1.Late - tg2.Late, false
+	}
 	if prev >= 0 && tg1.FailureDomain != tg2.FailureDomain {
 		last := pck.snp.Targets[prev].FailureDomain
 		switch last {
@@ -240,7 +236,19 @@
 			return -1, true
 		}
 	}
-	return tg1.InFlight*two.limit - tg2.InFlight*one.limit, false
+	if cmp = tg1.InFlight*two.limit - tg2.InFlight*one.limit; cmp != 0 {
+		return cmp, false
+	}
+	// Load reports are late and the same for all VMs. Any more weight than that of a tie-break makes all VMs leave the
+	// same targets at once and crowd the others.
+	return btoi(tg1.Overloaded) - btoi(tg2.Overloaded), false
+}
+
+func btoi(yes bool) (num int) {
+	if yes {
+		return 1
+	}
+	return 0
 }
 
 func (pck *picker) rank(ent *entry) (rank uint64) { return pck.snp.Targets[ent.idx].Rank }
--- /dev/null
+++ b/internal/steer/route/diff_test.go
@@ -0,0 +1,45 @@
+package route_test
+
+import (
+	"flag"
+	"testing"
+)
+
+var seed = flag.Int64("seed", 0, "seed of the simulation and the properties; 0 selects the default seeds")
+
+// Guards against a policy that reacts to stragglers too late, or that buys its tail latency with extra load.
+func TestPolicyAgainstNaive(t *testing.T) {
+	seeds := []uint64{1, 2, 3}
+	if *seed != 0 {
+		seeds = []uint64{uint64(*seed)}
+	}
+	for _, sed := range seeds {
+		naive := runSim(simConfig{
+			seed:       sed,
+			naive:      true,
+			stragglers: true,
+		})
+		policy := runSim(simConfig{
+			seed:       sed,
+			stragglers: true,
+		})
+		calm := runSim(simConfig{
+			seed: sed,
+		})
+		t.Logf("seed %d: p99 naive %v, policy %v, policy without stragglers %v; p50 %v, %v, %v; extra %d and %d of %d",
+			sed, naive.p99, policy.p99, calm.p99, naive.p50, policy.p50, calm.p50, policy.extras, calm.extras,
+			policy.requests)
+		if 4*policy.p99 > naive.p99 {
+			t.Errorf("seed %d: p99 %v is more than a quarter of naive's %v", sed, policy.p99, naive.p99)
+		}
+		if 2*policy.p99 > 3*calm.p99 {
+			t.Errorf("seed %d: p99 %v is more than 1.5 times the %v without stragglers", sed, policy.p99, calm.p99)
+		}
+		if 100*policy.extras > 3*policy.requests {
+			t.Errorf("seed %d: %d extra requests are more than 3%% of %d", sed, policy.extras, policy.requests)
+		}
+		if policy.overShare+calm.overShare > 0 {
+			t.Errorf("seed %d: more in flight than the share %d times", sed, policy.overShare+calm.overShare)
+		}
+	}
+}
--- a/internal/steer/route/reason.go
+++ b/internal/steer/route/reason.go
@@ -12,8 +12,6 @@
 	ReasonRendezvous
 	// ReasonOtherDomain is a choice because the previous candidate is in another failure domain.
 	ReasonOtherDomain
-	// ReasonOnlyOverloaded is the choice of a target that reports overload, for want of a better one.
-	ReasonOnlyOverloaded
 	// ReasonOnlyStraggler is the choice of a straggler, for want of a better one.
 	ReasonOnlyStraggler
 	// ReasonRoundRobin is the choice of the naive baseline.
@@ -46,7 +44,6 @@
 	ReasonLowestInFlight:  "lowest-in-flight",
 	ReasonRendezvous:      "rendezvous",
 	ReasonOtherDomain:     "other-domain",
-	ReasonOnlyOverloaded:  "only-overloaded",
 	ReasonOnlyStraggler:   "only-straggler",
 	ReasonRoundRobin:      "round-robin",
 	ReasonNearestWithRoom: "nearest-with-room",
--- a/internal/steer/route/route.go
+++ b/internal/steer/route/route.go
@@ -4,8 +4,8 @@
 // are tried in the caller's order of preference, and the nearest one with room wins. A region has room while the
 // VM's own requests in flight stay under the VM's usable share of its slots and one of its targets may get work. A
 // request that crosses between regions also needs units of the link and of the shift. Within the region the target
-// with the lowest own in-flight count relative to its slots comes first; stragglers and targets that report overload
-// come last; candidates alternate failure domains, so that a retry or a hedge leaves the domain of the first attempt.
+// with the lowest own in-flight count relative to its slots comes first; stragglers come
+// last; candidates alternate failure domains, so that a retry or a hedge leaves the domain of the first attempt.
 //
 // Reports of targets only ever lower what a VM sends. Naive is the round-robin baseline that Decide is compared with,
 // and Subset selects the targets to which a VM of a large fleet keeps connections.
@@ -48,6 +48,8 @@
 	OldestStart time.Time
 	// Slow is set for a while after a request that ended late or lost against its hedge.
 	Slow bool
+	// Late counts the requests in a row that ended late or lost against their hedge, up to the last normal answer.
+	Late int
 	// Overloaded is set while a recent load report shows more requests than slots.
 	Overloaded bool
 	// Leaving is set while any sign says that the target leaves.
@@ -130,11 +132,14 @@
 func (tst *TargetState) avoided() (yes bool) { return tst.Leaving || tst.Failing }
 
 // limit returns the number of own requests that the target may have in flight. A cold target gets at least one, or it
-// would never warm up.
+// would never warm up. A target whose last requests were late gets one until it answers in time.
 func (tst *TargetState) limit(now time.Time) (slots int) {
 	slots = min(tst.Slots, tst.UsableSlots)
 	if slots <= 0 {
 		return 0
 	}
+	if tst.Late > 0 {
+		return 1
+	}
 	return max(1, int(float64(slots)*Ramp(tst.ColdSince, now)))
 }
--- /dev/null
+++ b/internal/steer/route/sim_test.go
@@ -0,0 +1,380 @@
+package route_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"cardamompass"
+	"cardamompass/internal/steer/budget"
+	"cardamompass/internal/steer/health"
+	"cardamompass/internal/steer/route"
+)
+
+const (
+	simVMs      = 7
+	simTargets  = 20
+	simSlots    = 6
+	simShare    = simTargets * simSlots / simVMs
+	simMedian   = 10 * time.Millisecond
+	simSigma    = 0.5 // the p99 of the service time is about 3.2 times its median
+	simLoad     = 0.7
+	simSlow     = 2
+	simFactor   = 10
+	simDelay    = time.Millisecond // one way between the two failure domains
+	simLateLoad = 2 * time.Second
+	simSpan     = 20 * time.Second
+	simService  = cardamompass.ServiceName("kiosk-core")
+	simRegion   = cardamompass.Region("gulf")
+)
+
+// simConfig selects one run of the discrete-event simulation.
+type simConfig struct {
+	seed       uint64
+	naive      bool
+	stragglers bool
+}
+
+type simResult struct {
+	p50, p99         time.Duration
+	requests, extras int
+	overShare        int
+}
+
+type simEvent struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type simEvents []simEvent
+
+func (evs simEvents) Len() int { return len(evs) }
+func (evs simEvents) Less(i, j int) bool {
+	return evs[i].at.Before(evs[j].at) || evs[i].at.Equal(evs[j].at) && evs[i].seq < evs[j].seq
+}
+func (evs simEvents) Swap(i, j int) { evs[i], evs[j] = evs[j], evs[i] }
+func (evs *simEvents) Push(x any)   { *evs = append(*evs, x.(simEvent)) }
+func (evs *simEvents) Pop() (x any) {
+	last := len(*evs) - 1
+	x, *evs = (*evs)[last], (*evs)[:last]
+	return x
+}
+
+type sim struct {
+	cfg    simConfig
+	rng    *rand.Rand
+	start  time.Time
+	now    time.Time
+	seq    int
+	evs    simEvents
+	vms    []*simVM
+	tgts   map[cardamompass.TargetID]*simTarget
+	ids    []cardamompass.TargetID
+	lats   []time.Duration
+	result simResult
+}
+
+type simVM struct {
+	domain  int
+	trk     *health.Tracker
+	hedges  *budget.Budget
+	snp     route.Snapshot
+	dec     route.Decision
+	turn    uint64
+	waiting []*simRequest
+	flying  int
+}
+
+type simTarget struct {
+	domain  int
+	slow    bool
+	running int
+	queue   []*simAttempt
+}
+
+type simRequest struct {
+	vm       *simVM
+	arrived  time.Time
+	work     time.Duration
+	attempts []*simAttempt
+	done     bool
+}
+
+type simAttempt struct {
+	req     *simRequest
+	tid     cardamompass.TargetID
+	tok     health.Token
+	running bool
+	over    bool
+}
+
+func runSim(cfg simConfig) (res simResult) {
+	epoch := time.Unix(1_700_000_000, 0)
+	sim := &sim{
+		cfg:   cfg,
+		rng:   rand.New(rand.NewPCG(cfg.seed, 1)),
+		start: epoch,
+		now:   epoch,
+		tgts:  make(map[cardamompass.TargetID]*simTarget),
+	}
+	sim.build()
+	sim.after(0, sim.arrive)
+	sim.after(0, sim.report)
+	if cfg.stragglers {
+		for range simSlow {
+			sim.after(0, sim.straggle)
+		}
+	}
+	for len(sim.evs) > 0 {
+		evt := heap.Pop(&sim.evs).(simEvent)
+		sim.now = evt.at
+		evt.run()
+	}
+	slices.Sort(sim.lats)
+	sim.result.p50 = sim.lats[len(sim.lats)/2]
+	sim.result.p99 = sim.lats[len(sim.lats)*99/100]
+	return sim.result
+}
+
+func (sim *sim) build() {
+	var tgts []cardamompass.Target
+	for i := range simTargets {
+		tgts = append(tgts, cardamompass.Target{
+			ID:            cardamompass.TargetID(fmt.Sprintf("core-%02d", i)),
+			Service:       simService,
+			Region:        simRegion,
+			FailureDomain: cardamompass.FailureDomain(fmt.Sprintf("fd%d", i%2)),
+			Slots:         simSlots,
+		})
+		sim.tgts[tgts[i].ID] = &simTarget{
+			domain: i % 2,
+		}
+		sim.ids = append(sim.ids, tgts[i].ID)
+	}
+	for i := range simVMs {
+		vmc := &simVM{
+			domain: i % 2,
+			trk: health.New(health.Config{
+				Self: cardamompass.VMID(fmt.Sprintf("vm-%d", i)),
+			}),
+			hedges: budget.New(budget.HedgeConfig(), sim.now),
+			snp: route.Snapshot{
+				VMRegion: simRegion,
+				Regions: []route.RegionState{{
+					Region: simRegion,
+					Share:  simShare,
+				}},
+			},
+		}
+		vmc.trk.SetTargets(tgts, sim.now)
+		sim.vms = append(sim.vms, vmc)
+	}
+}
+
+func (sim *sim) after(dur time.Duration, run func()) {
+	sim.seq++
+	heap.Push(&sim.evs, simEvent{
+		at:  sim.now.Add(dur),
+		seq: sim.seq,
+		run: run,
+	})
+}
+
+func (sim *sim) open() bool { return sim.now.Sub(sim.start) < simSpan }
+
+// arrive starts one request at a random VM and schedules the next one.
+func (sim *sim) arrive() {
+	if !sim.open() {
+		return
+	}
+	mean := float64(simMedian) * math.Exp(simSigma*simSigma/2)
+	gap := mean / (simLoad * simTargets * simSlots)
+	sim.after(time.Duration(sim.rng.ExpFloat64()*gap), sim.arrive)
+	req := &simRequest{
+		vm:      sim.vms[sim.rng.IntN(simVMs)],
+		arrived: sim.now,
+		work:    time.Duration(float64(simMedian) * math.Exp(simSigma*sim.rng.NormFloat64())),
+	}
+	sim.result.requests++
+	req.vm.hedges.Request(sim.now)
+	req.vm.waiting = append(req.vm.waiting, req)
+	sim.place(req.vm)
+}
+
+// report samples the load of all targets and delivers it late.
+func (sim *sim) report() {
+	if !sim.open() {
+		return
+	}
+	sim.after(simLateLoad/4, sim.report)
+	for _, tid := range sim.ids {
+		load := sim.tgts[tid].running + len(sim.tgts[tid].queue)
+		sim.after(simLateLoad, func() {
+			for _, vmc := range sim.vms {
+				vmc.trk.Load(tid, load, simSlots, sim.now)
+			}
+		})
+	}
+}
+
+// straggle makes a random target slow for some seconds, and then the next one.
+func (sim *sim) straggle() {
+	tgt := sim.tgts[sim.ids[sim.rng.IntN(simTargets)]]
+	if !sim.open() {
+		return
+	}
+	if tgt.slow {
+		sim.straggle()
+		return
+	}
+	tgt.slow = true
+	sim.after(time.Second+time.Duration(sim.rng.Float64()*float64(4*time.Second)), func() {
+		tgt.slow = false
+		sim.straggle()
+	})
+}
+
+// place begins the requests that wait at the VM, as far as there is room.
+func (sim *sim) place(vmc *simVM) {
+	for len(vmc.waiting) > 0 {
+		req := vmc.waiting[0]
+		if !sim.attempt(req, nil) {
+			return
+		}
+		vmc.waiting = vmc.waiting[1:]
+		if !sim.cfg.naive {
+			lat := vmc.trk.Latency(simService)
+			sim.after(budget.HedgeDelay(lat.P95, lat.Usual), func() { sim.hedge(req) })
+		}
+	}
+}
+
+func (sim *sim) decide(vmc *simVM, exclude []cardamompass.TargetID) {
+	vmc.snp = vmc.trk.Snapshot(simService, sim.now, vmc.snp)
+	req := &route.Request{
+		CallerRegion: simRegion,
+		Exclude:      exclude,
+	}
+	if sim.cfg.naive {
+		vmc.dec = route.Naive(&vmc.snp, req, vmc.turn, vmc.dec)
+		vmc.turn++
+		return
+	}
+	vmc.dec = route.Decide(&vmc.snp, req, vmc.dec)
+}
+
+func (sim *sim) attempt(req *simRequest, exclude []cardamompass.TargetID) bool {
+	vmc := req.vm
+	sim.decide(vmc, exclude)
+	cnd, ok := vmc.dec.Best()
+	if !ok {
+		return false
+	}
+	tok := vmc.trk.Begin(cnd.Target, sim.now)
+	vmc.flying++
+	if !sim.cfg.naive && vmc.flying > simShare {
+		sim.result.overShare++
+	}
+	atm := &simAttempt{
+		req: req,
+		tid: cnd.Target,
+		tok: tok,
+	}
+	req.attempts = append(req.attempts, atm)
+	sim.after(sim.delay(atm), func() {
+		tgt := sim.tgts[atm.tid]
+		tgt.queue = append(tgt.queue, atm)
+		sim.serve(tgt)
+	})
+	return true
+}
+
+func (sim *sim) delay(atm *simAttempt) time.Duration {
+	if sim.tgts[atm.tid].domain == atm.req.vm.domain {
+		return 0
+	}
+	return simDelay
+}
+
+func (sim *sim) hedge(req *simRequest) {
+	if req.done {
+		return
+	}
+	exclude := []cardamompass.TargetID{req.attempts[0].tid}
+	sim.decide(req.vm, exclude)
+	_, room := req.vm.dec.Best()
+	lat := req.vm.trk.Latency(simService)
+	rsn := req.vm.hedges.TryHedge(budget.HedgeInput{
+		Idempotent: true,
+		Class:      cardamompass.ClassShort,
+		Age:        sim.now.Sub(req.arrived),
+		Delay:      0,
+		Left:       time.Minute,
+		Usual:      lat.Usual,
+		Room:       room,
+	}, sim.now)
+	if rsn == budget.HedgeAllowed && sim.attempt(req, exclude) {
+		sim.result.extras++
+	} else if rsn == budget.HedgeNoBudget || rsn == budget.HedgeNoRoom {
+		sim.after(simMedian, func() { sim.hedge(req) })
+	}
+}
+
+// serve starts queued attempts on free slots of the target.
+func (sim *sim) serve(tgt *simTarget) {
+	for tgt.running < simSlots && len(tgt.queue) > 0 {
+		atm := tgt.queue[0]
+		tgt.queue = tgt.queue[1:]
+		if atm.over {
+			continue
+		}
+		tgt.running++
+		atm.running = true
+		work := atm.req.work
+		if tgt.slow {
+			work *= simFactor
+		}
+		sim.after(work, func() {
+			if atm.running {
+				atm.running = false
+				tgt.running--
+				sim.serve(tgt)
+				sim.after(sim.delay(atm), func() { sim.answer(atm) })
+			}
+		})
+	}
+}
+
+// answer ends the request with its first answer and cancels the other attempt.
+func (sim *sim) answer(atm *simAttempt) {
+	req := atm.req
+	if req.done {
+		return
+	}
+	req.done = true
+	sim.lats = append(sim.lats, sim.now.Sub(req.arrived))
+	for _, one := range req.attempts {
+		res := health.Answered
+		if one != atm {
+			res = health.Cancelled
+			if one == req.attempts[0] {
+				res = health.HedgeLost
+			}
+		}
+		req.vm.flying--
+		req.vm.trk.Done(one.tok, sim.now, res)
+		one.over = true
+		sim.after(sim.delay(one), func() {
+			if tgt := sim.tgts[one.tid]; one.running {
+				one.running = false
+				tgt.running--
+				sim.serve(tgt)
+			}
+		})
+	}
+	sim.place(req.vm)
+}
