steer: add property tests and benchmarks; keep a draining probe until a later one says serving

Cause: a target that said draining was restored 5 s after the last probe even when no probe had said serving since. Change: the word of the target in a drain answer or a probe lasts until an own probe refutes it, at most 2 minutes.

--- /dev/null
+++ b/internal/steer/budget/budget_test.go
@@ -0,0 +1,113 @@
+package budget_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"cardamompass"
+	"cardamompass/internal/steer/budget"
+)
+
+var seed = flag.Int64("seed", 0, "seed of the properties; 0 selects a random one")
+
+func parameters() *gopter.TestParameters {
+	if *seed != 0 {
+		return gopter.DefaultTestParametersWithSeed(*seed)
+	}
+	return gopter.DefaultTestParameters()
+}
+
+// Guards against a burst of extra requests in any window, however requests and failures are mixed. Each step is a gap
+// in milliseconds; its remainder selects between a request and an attempt to take an extra one.
+func TestBudgetHoldsOverAnyWindow(t *testing.T) {
+	prm := parameters()
+	prm.MinSize, prm.MaxSize = 50, 600
+	prs := gopter.NewProperties(prm)
+	for name, cfg := range map[string]budget.Config{
+		"retry": budget.RetryConfig(),
+		"hedge": budget.HedgeConfig(),
+	} {
+		prs.Property(name, prop.ForAll(func(gaps []int, busy int) bool {
+			start := time.Unix(1_700_000_000, 0)
+			now := start
+			bud := budget.New(cfg, now)
+			var requests, extras []time.Time
+			for _, gap := range gaps {
+				now = now.Add(time.Duration(gap) * time.Millisecond)
+				if gap%10 < busy {
+					bud.Request(now)
+					requests = append(requests, now)
+				} else if bud.TakeExtra(now) {
+					extras = append(extras, now)
+				}
+			}
+			return holds(cfg, requests, extras)
+		}, gen.SliceOf(gen.IntRange(0, 300)), gen.IntRange(0, 10)))
+	}
+	prs.TestingRun(t)
+}
+
+// holds checks each window that begins and ends at an extra request. These are the tightest ones.
+func holds(cfg budget.Config, requests, extras []time.Time) bool {
+	for i, from := range extras {
+		for j := i; j < len(extras) && extras[j].Sub(from) <= cfg.Window; j++ {
+			count := 0
+			for _, req := range requests {
+				if !req.Before(from) && !req.After(extras[j]) {
+					count++
+				}
+			}
+			if 100*(j-i+1) > 100*cfg.Minimum+cfg.Percent*count {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Guards against a hedge of a request that must not run twice, that is long, or for which there is no room, and against
+// a budget that is charged for a hedge that is not sent.
+func TestTryHedge(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	good := budget.HedgeInput{
+		Idempotent: true,
+		Class:      cardamompass.ClassShort,
+		Age:        30 * time.Millisecond,
+		Delay:      budget.HedgeDelay(25*time.Millisecond, 10*time.Millisecond),
+		Left:       time.Second,
+		Usual:      10 * time.Millisecond,
+		Room:       true,
+	}
+	tests := []struct {
+		name   string
+		change func(inp *budget.HedgeInput)
+		want   budget.HedgeReason
+	}{
+		{"hedge denied without reason", func(*budget.HedgeInput) {}, budget.HedgeAllowed},
+		{"operation run twice", func(inp *budget.HedgeInput) { inp.Idempotent = false }, budget.HedgeNotIdempotent},
+		{"download doubled", func(inp *budget.HedgeInput) { inp.Class = cardamompass.ClassLong }, budget.HedgeNotShort},
+		{"hedge before the delay", func(inp *budget.HedgeInput) { inp.Age = 0 }, budget.HedgeTooEarly},
+		{"hedge that cannot finish", func(inp *budget.HedgeInput) { inp.Left = 0 }, budget.HedgeNoTime},
+		{"hedge into a full region", func(inp *budget.HedgeInput) { inp.Room = false }, budget.HedgeNoRoom},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			bud := budget.New(budget.HedgeConfig(), now)
+			before := bud.State().Tokens()
+			inp := good
+			tst.change(&inp)
+			got := bud.TryHedge(inp, now)
+			if got != tst.want {
+				t.Fatalf("got %v, want %v", got, tst.want)
+			}
+			if charged := bud.State().Tokens() != before; charged != (got == budget.HedgeAllowed) {
+				t.Fatalf("charged %v for %v", charged, got)
+			}
+		})
+	}
+}
--- a/internal/steer/health/sign.go
+++ b/internal/steer/health/sign.go
@@ -25,13 +25,16 @@
 const (
 	// listLife covers several reads of the VM list, which lags.
 	listLife = 30 * time.Second
-	// drainLife is long because the target itself said so. Beyond it, the target stays avoided until an own probe says
-	// that it serves.
+	// drainLife is long because the target itself said so, and health endpoints lag.
 	drainLife = 30 * time.Second
 	// probeLife covers a few probes, so that a health endpoint that flaps does not restore the target.
 	probeLife = 5 * time.Second
 	// PeerLife is how long the report of a peer lasts unless an own sign confirms it.
 	PeerLife = 10 * time.Second
+	// confirmLife bounds the time for which the word of the target, in a drain answer or a probe, lasts beyond its life
+	// time while no own probe says that it serves. Without the bound, a health endpoint that never answers again would
+	// cost the VM the target.
+	confirmLife = 2 * time.Minute
 )
 
 // String returns the kebab-case name of the sign.
@@ -69,8 +72,8 @@
 // signs is the set of signs of one target. It is a value: with methods return a changed copy.
 type signs struct {
 	until [signCount]time.Time
-	// unconfirmed is set by a drain answer until an own probe says that the target serves.
-	unconfirmed bool
+	// confirmBy is the end of the time in which an own probe must say that the target serves; zero when it did.
+	confirmBy time.Time
 }
 
 // with returns the set after one more sign. fresh reports that no own sign was in force, so that peers must learn of
@@ -81,19 +84,23 @@
 		fresh = fresh && (!one.own() || !now.Before(sgs.until[one]))
 	}
 	sgs.until[sgn] = now.Add(sgn.life())
-	sgs.unconfirmed = sgs.unconfirmed || sgn == SignDrain
+	if sgn == SignDrain || sgn == SignProbe {
+		sgs.confirmBy = now.Add(confirmLife)
+	}
 	return sgs, fresh
 }
 
 // withServing returns the set after an own probe that found the target serving. It ends no sign early, because health
 // endpoints lag.
 func (sgs signs) withServing(now time.Time) (next signs) {
-	sgs.unconfirmed = sgs.unconfirmed && now.Before(sgs.until[SignDrain])
+	if !now.Before(sgs.until[SignDrain]) && !now.Before(sgs.until[SignProbe]) {
+		sgs.confirmBy = time.Time{}
+	}
 	return sgs
 }
 
 func (sgs signs) leaving(now time.Time) (yes bool) {
-	if sgs.unconfirmed {
+	if now.Before(sgs.confirmBy) {
 		return true
 	}
 	for _, unt := range sgs.until {
--- /dev/null
+++ b/internal/steer/queue/queue_test.go
@@ -0,0 +1,273 @@
+package queue_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"go.uber.org/goleak"
+
+	"cardamompass"
+	"cardamompass/internal/steer/queue"
+)
+
+var seed = flag.Int64("seed", 0, "seed of the properties; 0 selects a random one")
+
+func parameters() *gopter.TestParameters {
+	if *seed != 0 {
+		return gopter.DefaultTestParametersWithSeed(*seed)
+	}
+	return gopter.DefaultTestParameters()
+}
+
+// clock is a Clock that the test moves.
+type clock struct {
+	mut  sync.Mutex
+	now  time.Time
+	tmrs []*timer
+}
+
+type timer struct {
+	at time.Time
+	ch chan time.Time
+}
+
+func (tmr *timer) C() <-chan time.Time { return tmr.ch }
+func (tmr *timer) Stop() bool          { return true }
+
+func (clk *clock) Now() time.Time {
+	clk.mut.Lock()
+	defer clk.mut.Unlock()
+	return clk.now
+}
+
+func (clk *clock) NewTimer(dur time.Duration) cardamompass.Timer {
+	clk.mut.Lock()
+	defer clk.mut.Unlock()
+	tmr := &timer{
+		at: clk.now.Add(dur),
+		ch: make(chan time.Time, 1),
+	}
+	clk.tmrs = append(clk.tmrs, tmr)
+	return tmr
+}
+
+// move sets the time and fires what is due.
+func (clk *clock) move(dur time.Duration) {
+	clk.mut.Lock()
+	defer clk.mut.Unlock()
+	clk.now = clk.now.Add(dur)
+	for _, tmr := range clk.tmrs {
+		if !tmr.at.After(clk.now) {
+			select {
+			case tmr.ch <- clk.now:
+			default:
+			}
+		}
+	}
+}
+
+func (clk *clock) timers() int {
+	clk.mut.Lock()
+	defer clk.mut.Unlock()
+	return len(clk.tmrs)
+}
+
+// bench is a queue with a number of free slots and the outcomes of its requests by number.
+type bench struct {
+	clk  *clock
+	que  *queue.Queue
+	stop func()
+	wtg  sync.WaitGroup
+
+	mut    sync.Mutex
+	free   int
+	order  []int
+	errs   map[int]error
+	number int
+}
+
+func newBench(length int) *bench {
+	bch := &bench{
+		clk: &clock{
+			now: time.Unix(1_700_000_000, 0),
+		},
+		errs: make(map[int]error),
+	}
+	bch.que, bch.stop = queue.New(queue.Config{
+		Length: length,
+		Clock:  bch.clk,
+	})
+	return bch
+}
+
+// send starts a request and returns once it waits or has ended.
+func (bch *bench) send(cls cardamompass.Class, fit string, left time.Duration) (num int) {
+	num, bch.number = bch.number, bch.number+1
+	ended := make(chan struct{})
+	timers := bch.clk.timers()
+	itm := queue.Item{
+		Class:    cls,
+		Deadline: bch.clk.Now().Add(left),
+		Expected: 10 * time.Millisecond,
+		Fit:      fit,
+	}
+	bch.wtg.Go(func() {
+		defer close(ended)
+		err := bch.que.Wait(context.Background(), itm, func() bool {
+			bch.mut.Lock()
+			defer bch.mut.Unlock()
+			if bch.free == 0 || fit == "never" {
+				return false
+			}
+			bch.free--
+			bch.order = append(bch.order, num)
+			return true
+		})
+		bch.mut.Lock()
+		defer bch.mut.Unlock()
+		bch.errs[num] = err
+	})
+	for bch.clk.timers() == timers {
+		select {
+		case <-ended:
+			return num
+		default:
+			runtime.Gosched()
+		}
+	}
+	return num
+}
+
+func (bch *bench) release() bool {
+	bch.mut.Lock()
+	bch.free++
+	bch.mut.Unlock()
+	return bch.que.Released()
+}
+
+func reason(err error) string {
+	var nre *cardamompass.NotRunError
+	if errors.As(err, &nre) {
+		return nre.Reason
+	}
+	return fmt.Sprint(err)
+}
+
+// model returns the order in which the waiting requests must get slots, and the number of those that are turned away.
+func model(longs []bool, length int) (order []int, dropped int) {
+	var short, long []int
+	for num, isLong := range longs {
+		full := len(short)+len(long) >= length
+		switch {
+		case full && (isLong || len(long) == 0):
+			dropped++
+			continue
+		case full:
+			dropped++
+			long = long[:len(long)-1]
+		}
+		if isLong {
+			long = append(long, num)
+		} else {
+			short = append(short, num)
+		}
+	}
+	return append(short, long...), dropped
+}
+
+// Guards against a queue that outgrows its bound, serves long requests before short ones, or wakes more than one waiter
+// for a slot.
+func TestBoundedAndOrdered(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	prs := gopter.NewProperties(parameters())
+	prs.Property("model", prop.ForAll(func(longs []bool, length int) string {
+		bch := newBench(length)
+		for _, isLong := range longs {
+			cls := cardamompass.ClassShort
+			if isLong {
+				cls = cardamompass.ClassLong
+			}
+			bch.send(cls, "gulf", time.Minute)
+			if bch.que.Len() > length {
+				return "queue is longer than its bound"
+			}
+		}
+		want, dropped := model(longs, length)
+		for range want {
+			before := bch.que.Len()
+			if !bch.release() || bch.que.Len() != before-1 {
+				return "a slot did not wake exactly one waiter"
+			}
+		}
+		if bch.release() {
+			return "a slot woke a waiter of an empty queue"
+		}
+		bch.wtg.Wait()
+		count := 0
+		for _, err := range bch.errs {
+			if rsn := reason(err); err != nil && rsn != queue.ReasonFull && rsn != queue.ReasonDisplaced {
+				return "drop without its reason: " + rsn
+			} else if err != nil {
+				count++
+			}
+		}
+		if !slices.Equal(bch.order, want) || count != dropped {
+			return fmt.Sprintf("order %v, want %v; %d dropped, want %d", bch.order, want, count, dropped)
+		}
+		return ""
+	}, gen.SliceOf(gen.Bool()), gen.IntRange(1, 12)))
+	prs.TestingRun(t)
+}
+
+// Guards against requests that stay although they cannot finish, and against a slot that is lost to one of them.
+func TestLeavesTheQueue(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	bch := newBench(10)
+	late := bch.send(cardamompass.ClassShort, "gulf", 5*time.Millisecond)
+	first := bch.send(cardamompass.ClassShort, "gulf", 50*time.Millisecond)
+	misfit := bch.send(cardamompass.ClassShort, "never", time.Minute)
+	second := bch.send(cardamompass.ClassShort, "gulf", time.Minute)
+	bch.clk.move(41 * time.Millisecond)
+	if !bch.release() {
+		t.Error("the slot woke nobody")
+	}
+	bch.stop()
+	stopped := bch.send(cardamompass.ClassShort, "gulf", time.Minute)
+	bch.wtg.Wait()
+	want := map[int]string{
+		late:    queue.ReasonLate,
+		first:   queue.ReasonLate,
+		misfit:  queue.ReasonStopped,
+		second:  "<nil>",
+		stopped: queue.ReasonStopped,
+	}
+	for num, rsn := range want {
+		if got := reason(bch.errs[num]); got != rsn {
+			t.Errorf("request %d: %s, want %s", num, got, rsn)
+		}
+	}
+}
+
+// Guards against a caller that gave up but stays in the queue.
+func TestCancelled(t *testing.T) {
+	bch := newBench(1)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	err := bch.que.Wait(ctx, queue.Item{
+		Class:    cardamompass.ClassShort,
+		Deadline: bch.clk.Now().Add(time.Minute),
+	}, func() bool { return false })
+	if reason(err) != queue.ReasonCancelled || bch.que.Len() != 0 {
+		t.Fatalf("error %v, %d waiting", err, bch.que.Len())
+	}
+}
--- /dev/null
+++ b/internal/steer/route/prop_test.go
@@ -0,0 +1,288 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"cardamompass"
+	"cardamompass/internal/steer/route"
+)
+
+func parameters() *gopter.TestParameters {
+	prm := gopter.DefaultTestParameters()
+	if *seed != 0 {
+		prm = gopter.DefaultTestParametersWithSeed(*seed)
+	}
+	prm.MinSuccessfulTests = 5000
+	return prm
+}
+
+var regions = []cardamompass.Region{"gulf", "delta", "piedmont"}
+
+func randomSnapshot(rng *rand.Rand) (snp route.Snapshot, req route.Request) {
+	snp = route.Snapshot{
+		Now:      time.Unix(1_700_000_000, 0),
+		VMRegion: regions[rng.IntN(3)],
+		Usual:    10 * time.Millisecond,
+	}
+	for _, reg := range regions {
+		snp.Regions = append(snp.Regions, route.RegionState{
+			Region:     reg,
+			Share:      rng.IntN(12),
+			LinkUnits:  rng.IntN(2) == 0,
+			ShiftUnits: rng.IntN(2) == 0,
+		})
+		for i := range rng.IntN(6) {
+			tst := route.TargetState{
+				ID:            cardamompass.TargetID(fmt.Sprintf("%s-%d", reg, i)),
+				Region:        reg,
+				FailureDomain: cardamompass.FailureDomain(fmt.Sprint(rng.IntN(2))),
+				Rank:          rng.Uint64(),
+				Slots:         1 + rng.IntN(6),
+				UsableSlots:   1 + rng.IntN(6),
+				Leaving:       rng.IntN(4) == 0,
+				Failing:       rng.IntN(6) == 0,
+				Overloaded:    rng.IntN(4) == 0,
+			}
+			tst.InFlight = rng.IntN(3)
+			if tst.InFlight > 0 {
+				tst.OldestStart = snp.Now.Add(-time.Duration(rng.IntN(50)) * time.Millisecond)
+			}
+			if rng.IntN(4) == 0 {
+				tst.ColdSince = snp.Now.Add(-time.Duration(rng.IntN(15)) * time.Second)
+			}
+			snp.Targets = append(snp.Targets, tst)
+		}
+	}
+	req = route.Request{
+		CallerRegion: regions[0],
+		Near:         regions[1:],
+	}
+	if len(snp.Targets) > 0 && rng.IntN(2) == 0 {
+		req.Exclude = []cardamompass.TargetID{snp.Targets[rng.IntN(len(snp.Targets))].ID}
+	}
+	return snp, req
+}
+
+// check returns what is wrong with a decision, or an empty string.
+func check(snp *route.Snapshot, req *route.Request, dec *route.Decision) string {
+	for pos, cnd := range dec.Candidates {
+		idx := slices.IndexFunc(snp.Targets, func(tst route.TargetState) bool { return tst.ID == cnd.Target })
+		tgt := snp.Targets[idx]
+		reg := snp.Regions[slices.Index(regions, cnd.Region)]
+		own, usable := 0, 0.0
+		total := 0
+		for _, one := range snp.Targets {
+			if one.Region == cnd.Region {
+				own += one.InFlight
+				total += one.Slots
+				if !one.Leaving && !one.Failing {
+					usable += float64(one.Slots)
+				}
+			}
+		}
+		straggler := tgt.Straggler(snp.Usual, snp.Now)
+		switch {
+		case tgt.Leaving || tgt.Failing || slices.Contains(req.Exclude, tgt.ID):
+			return "target must get no work: " + string(tgt.ID)
+		case own >= reg.Share:
+			return "share is in flight already"
+		case float64(cnd.RegionLimit) > float64(reg.Share)*usable/float64(total)+1e-6:
+			return "slots of avoided targets are still in the usable share"
+		case tgt.InFlight >= min(tgt.Slots, tgt.UsableSlots):
+			return "slots of the target are taken"
+		case cnd.Region != snp.VMRegion && (!cnd.NeedsLink || !reg.LinkUnits):
+			return "link without units"
+		case cnd.Region != req.CallerRegion && (!cnd.NeedsShift || !reg.ShiftUnits):
+			return "shift without units"
+		case pos > 0 && !straggler && dec.Candidates[pos-1].Reason == route.ReasonOnlyStraggler:
+			return "straggler before another target"
+		}
+	}
+	listed := len(dec.Candidates) + len(dec.Rejections)
+	if len(dec.Candidates) > 0 && listed == 0 || len(dec.Regions) != len(regions) {
+		return "reasons are missing"
+	}
+	return ""
+}
+
+// Guards against a decision that exceeds a share, uses a leaving target, or crosses without units.
+func TestDecideProperties(t *testing.T) {
+	prs := gopter.NewProperties(parameters())
+	prs.Property("limits hold", prop.ForAll(func(num uint64) string {
+		snp, req := randomSnapshot(rand.New(rand.NewPCG(num, 0)))
+		dec := route.Decide(&snp, &req, route.Decision{})
+		return check(&snp, &req, &dec)
+	}, gen.UInt64()))
+	prs.TestingRun(t)
+}
+
+// Guards against the loss of both attempts of a request with one failure domain, and against a wrong first choice.
+func TestDecideOrder(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	mk := func(id, domain string, inFlight int, age time.Duration) route.TargetState {
+		return route.TargetState{
+			ID:            cardamompass.TargetID(id),
+			Region:        "gulf",
+			FailureDomain: cardamompass.FailureDomain(domain),
+			Slots:         6,
+			UsableSlots:   6,
+			InFlight:      inFlight,
+			OldestStart:   now.Add(-age),
+		}
+	}
+	tests := []struct {
+		name string
+		tgts []route.TargetState
+		want []cardamompass.TargetID
+	}{
+		{
+			name: "second candidate in the same failure domain",
+			tgts: []route.TargetState{mk("a", "x", 1, 0), mk("b", "x", 2, 0), mk("c", "y", 3, 0)},
+			want: []cardamompass.TargetID{"a", "c", "b"},
+		},
+		{
+			name: "straggler first because it has few requests",
+			tgts: []route.TargetState{mk("a", "x", 1, 31*time.Millisecond), mk("b", "x", 4, 0), mk("c", "x", 3, 0)},
+			want: []cardamompass.TargetID{"c", "b", "a"},
+		},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			snp := route.Snapshot{
+				Now:      now,
+				VMRegion: "gulf",
+				Usual:    10 * time.Millisecond,
+				Targets:  tst.tgts,
+				Regions: []route.RegionState{{
+					Region: "gulf",
+					Share:  18,
+				}},
+			}
+			dec := route.Decide(&snp, &route.Request{
+				CallerRegion: "gulf",
+			}, route.Decision{})
+			var got []cardamompass.TargetID
+			for _, cnd := range dec.Candidates {
+				got = append(got, cnd.Target)
+			}
+			if !slices.Equal(got, tst.want) {
+				t.Fatalf("candidates %v, want %v", got, tst.want)
+			}
+		})
+	}
+}
+
+func fleet(vms, tgts, connections int) (cfg route.SubsetConfig) {
+	for i := range vms {
+		cfg.VMs = append(cfg.VMs, cardamompass.VMID(fmt.Sprintf("vm-%03d", i)))
+	}
+	for i := range tgts {
+		cfg.Targets = append(cfg.Targets, cardamompass.Target{
+			ID:          cardamompass.TargetID(fmt.Sprintf("tgt-%03d", i)),
+			Connections: connections,
+		})
+	}
+	return cfg
+}
+
+func connect(cfg route.SubsetConfig) (all map[cardamompass.VMID][]route.Connection) {
+	all = make(map[cardamompass.VMID][]route.Connection)
+	for _, vid := range cfg.VMs {
+		cfg.Self = vid
+		all[vid] = route.Subset(cfg)
+	}
+	return all
+}
+
+// fresh counts the pairs of VM and target in all that are not in old.
+func fresh(all, old map[cardamompass.VMID][]route.Connection) (count int) {
+	for vid, cns := range all {
+		for _, cnn := range cns {
+			if !slices.ContainsFunc(old[vid], func(was route.Connection) bool { return was.Target == cnn.Target }) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// Guards against a target with more connections than it accepts, a VM without targets, and a fleet that reconnects as a
+// whole when a VM or target leaves.
+func TestSubset(t *testing.T) {
+	tests := []struct{ vms, connections int }{{7, 330}, {100, 60}, {430, 330}}
+	for _, tst := range tests {
+		cfg := fleet(tst.vms, 20, tst.connections)
+		all := connect(cfg)
+		counts, pairs := make(map[cardamompass.TargetID]int), 0
+		for vid, cns := range all {
+			if len(cns) == 0 {
+				t.Errorf("%+v: %s has no target", tst, vid)
+			}
+			if tst.vms == 7 && len(cns) != 20 {
+				t.Errorf("%s has %d of 20 targets although the connections suffice", vid, len(cns))
+			}
+			for _, cnn := range cns {
+				counts[cnn.Target] += cnn.Count
+				pairs++
+			}
+		}
+		for tid, count := range counts {
+			if count > tst.connections {
+				t.Errorf("%+v: %s has %d connections", tst, tid, count)
+			}
+		}
+		fewer := cfg
+		fewer.VMs = slices.Delete(slices.Clone(cfg.VMs), 3, 4)
+		byVM := fresh(connect(fewer), all)
+		fewer = cfg
+		fewer.Targets = slices.Delete(slices.Clone(cfg.Targets), 3, 4)
+		byTarget := fresh(connect(fewer), all)
+		t.Logf("%+v: %d pairs, %d new after a VM left, %d after a target left", tst, pairs, byVM, byTarget)
+		// A VM or target has its part of the pairs; the others may take these over and move as many of their own.
+		if byVM > 2*pairs/tst.vms+1 || byTarget > 2*pairs/20 {
+			t.Errorf("%+v: %d and %d of %d pairs are new", tst, byVM, byTarget, pairs)
+		}
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	for _, count := range []int{20, 35, 64} {
+		b.Run(fmt.Sprint(count, " targets"), func(b *testing.B) {
+			snp := route.Snapshot{
+				Now:      time.Unix(1_700_000_000, 0),
+				VMRegion: "gulf",
+				Regions: []route.RegionState{{
+					Region: "gulf",
+					Share:  3 * count,
+				}},
+			}
+			for i := range count {
+				snp.Targets = append(snp.Targets, route.TargetState{
+					ID:            cardamompass.TargetID(fmt.Sprint(i)),
+					Region:        "gulf",
+					FailureDomain: cardamompass.FailureDomain(fmt.Sprint(i % 2)),
+					Rank:          route.Rank("vm", cardamompass.TargetID(fmt.Sprint(i))),
+					Slots:         6,
+					UsableSlots:   6,
+					InFlight:      i % 2,
+				})
+			}
+			req := route.Request{
+				CallerRegion: "gulf",
+			}
+			var dec route.Decision
+			b.ReportAllocs()
+			for b.Loop() {
+				dec = route.Decide(&snp, &req, dec)
+			}
+		})
+	}
+}
