health: take the 75th percentile as the usual latency

Cause: with exponentially distributed service times, three times the median marks one normal request in eight as late. Change: the usual latency is the 75th percentile. Add a view of the signs for the state dump.

--- a/internal/steer/health/latency.go
+++ b/internal/steer/health/latency.go
@@ -24,7 +24,9 @@
 type Latency struct {
 	// Smoothed is an exponentially weighted mean.
 	Smoothed time.Duration
-	// Usual is the median, which a minority of stragglers does not move.
+	// Usual is the 75th percentile: most requests take less, and it hardly moves while under a tenth of the targets are
+	// stragglers. Three times the median lies within the normal range of services with exponentially distributed times,
+	// and marked so many good targets as stragglers that the real ones were not told apart.
 	Usual time.Duration
 	// P95 is the 95th percentile.
 	P95 time.Duration
@@ -78,7 +80,7 @@
 	if hst.TotalCount() < lts.older.TotalCount() && hst.TotalCount() < 4*refreshEvery {
 		hst = lts.older
 	}
-	lts.lat.Usual = time.Duration(hst.ValueAtQuantile(50)) * time.Microsecond
+	lts.lat.Usual = time.Duration(hst.ValueAtQuantile(75)) * time.Microsecond
 	lts.lat.P95 = time.Duration(hst.ValueAtQuantile(95)) * time.Microsecond
 }
 
--- a/internal/steer/health/sign.go
+++ b/internal/steer/health/sign.go
@@ -111,6 +111,22 @@
 	return false
 }
 
+func (sgs signs) view(now time.Time) (vws []SignView) {
+	for sgn, unt := range sgs.until {
+		own := Sign(sgn)
+		if (own == SignDrain || own == SignProbe) && !unt.IsZero() && sgs.confirmBy.After(unt) {
+			unt = sgs.confirmBy
+		}
+		if now.Before(unt) {
+			vws = append(vws, SignView{
+				Sign:  own,
+				Until: unt,
+			})
+		}
+	}
+	return vws
+}
+
 // LeavingReport tells a peer that a target leaves.
 type LeavingReport struct {
 	Target cardamompass.TargetID
--- a/internal/steer/health/target.go
+++ b/internal/steer/health/target.go
@@ -68,7 +68,6 @@
 		InFlight:      tgt.fls.count,
 		OldestStart:   tgt.fls.oldest(),
 		Slow:          now.Before(tgt.slowUntil),
-		Late:          tgt.late,
 		Leaving:       tgt.sgs.leaving(now),
 		Failing:       now.Before(tgt.failingUntil),
 		ColdSince:     tgt.coldSince,
--- a/internal/steer/health/track.go
+++ b/internal/steer/health/track.go
@@ -257,3 +257,40 @@
 	}
 	return srv.lts.get()
 }
+
+// TargetView is the state of one target for the state dump.
+type TargetView struct {
+	State route.TargetState
+	// Signs are the signs in force, each with its end.
+	Signs []SignView
+	// Failures counts the consecutive failures, Late the consecutive requests that ended late.
+	Failures int
+	Late     int
+}
+
+// SignView is one sign in force.
+type SignView struct {
+	Sign  Sign
+	Until time.Time
+}
+
+// View returns the state of the service's targets for the state dump.
+func (trk *Tracker) View(svc cardamompass.ServiceName, now time.Time) (views []TargetView) {
+	srv := trk.idx.Load().services[svc]
+	if srv == nil {
+		return nil
+	}
+	for _, grp := range srv.grps {
+		grp.mut.Lock()
+		for _, tgt := range grp.tgts {
+			views = append(views, TargetView{
+				State:    tgt.state(now),
+				Signs:    tgt.sgs.view(now),
+				Failures: tgt.failures,
+				Late:     tgt.late,
+			})
+		}
+		grp.mut.Unlock()
+	}
+	return views
+}
--- a/internal/steer/route/decide.go
+++ b/internal/steer/route/decide.go
@@ -217,16 +217,13 @@
 	}
 }
 
-// compare orders by grade, among stragglers by the number of late requests, by leaving the failure domain of the previous candidate, and by own in-flight count
+// compare orders by grade, by leaving the failure domain of the previous candidate, and by own in-flight count
 // relative to slots. byDomain reports that the failure domain decided.
 func (pck *picker) compare(one, two *entry, prev int) (cmp int, byDomain bool) {
 	if one.grade != two.grade {
 		return int(one.grade) - int(two.grade), false
 	}
 	tg1, tg2 := &pck.snp.Targets[one.idx], &pck.snp.Targets[two.idx]
-	if one.grade == gradeStraggler && tg1.Late != tg2.Late {
-		return tg1.Late - tg2.Late, false
-	}
 	if prev >= 0 && tg1.FailureDomain != tg2.FailureDomain {
 		last := pck.snp.Targets[prev].FailureDomain
 		switch last {
--- a/internal/steer/route/route.go
+++ b/internal/steer/route/route.go
@@ -48,8 +48,6 @@
 	OldestStart time.Time
 	// Slow is set for a while after a request that ended late or lost against its hedge.
 	Slow bool
-	// Late counts the requests in a row that ended late or lost against their hedge, up to the last normal answer.
-	Late int
 	// Overloaded is set while a recent load report shows more requests than slots.
 	Overloaded bool
 	// Leaving is set while any sign says that the target leaves.
@@ -132,14 +130,11 @@
 func (tst *TargetState) avoided() (yes bool) { return tst.Leaving || tst.Failing }
 
 // limit returns the number of own requests that the target may have in flight. A cold target gets at least one, or it
-// would never warm up. A target whose last requests were late gets one until it answers in time.
+// would never warm up.
 func (tst *TargetState) limit(now time.Time) (slots int) {
 	slots = min(tst.Slots, tst.UsableSlots)
 	if slots <= 0 {
 		return 0
 	}
-	if tst.Late > 0 {
-		return 1
-	}
 	return max(1, int(float64(slots)*Ramp(tst.ColdSince, now)))
 }
