--- a/internal/steer/budget/hedge.go
+++ b/internal/steer/budget/hedge.go
@@ -69,6 +69,9 @@
 	}
 }
 
+// MarshalText implements encoding.TextMarshaler for the state dump.
+func (rsn HedgeReason) MarshalText() (text []byte, err error) { return []byte(rsn.String()), nil }
+
 // HedgeInput is what the decision about a hedge depends on.
 type HedgeInput struct {
 	Idempotent bool
--- a/internal/steer/guard/guard.go
+++ b/internal/steer/guard/guard.go
@@ -12,7 +12,8 @@
 //
 // Limits: memory is bounded by Config.MaxRecords; when that many contents are suspects or blocked, the oldest suspect,
 // or else the block that ends first, is forgotten and may crash two more targets. A content that crashes only some of
-// its runs is cleared by each run that succeeds.
+// its runs is cleared by each run that succeeds. Suspects of different VMs may meet on one target; if it crashes, both
+// are blocked, unless one of them was answered since its first crash.
 //
 // A Guard is safe for concurrent use. It does no I/O and reads no clock.
 package guard
@@ -78,6 +79,9 @@
 	}
 }
 
+// MarshalText implements encoding.TextMarshaler for the state dump.
+func (act Action) MarshalText() (text []byte, err error) { return []byte(act.String()), nil }
+
 // Verdict is the answer of Admit.
 type Verdict struct {
 	Action Action
--- a/internal/steer/guard/key.go
+++ b/internal/steer/guard/key.go
@@ -16,6 +16,9 @@
 // String returns the key in hexadecimal digits.
 func (key Key) String() (text string) { return hex.EncodeToString(key[:]) }
 
+// MarshalText implements encoding.TextMarshaler for the state dump.
+func (key Key) MarshalText() (text []byte, err error) { return []byte(key.String()), nil }
+
 // KeyOf returns the key of a request's service, method, path, query and body.
 func KeyOf(req *cardamompass.Request) (key Key) {
 	hsh := sha256.New()
--- a/internal/steer/health/probe.go
+++ b/internal/steer/health/probe.go
@@ -44,10 +44,10 @@
 // Prober asks each target for its health and load at an interval. It is safe for concurrent use.
 type Prober struct {
 	cfg ProberConfig
-	ctx context.Context //nolint:containedctx // the prober's own life time, not that of a call
 	wtg sync.WaitGroup
 
 	mut   sync.Mutex
+	off   bool
 	stops map[cardamompass.TargetID]context.CancelFunc
 	addrs map[cardamompass.TargetID]string
 }
@@ -66,26 +66,30 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Float64
 	}
-	ctx, cancel := context.WithCancel(context.Background())
 	prb = &Prober{
 		cfg:   cfg,
-		ctx:   ctx,
 		stops: make(map[cardamompass.TargetID]context.CancelFunc),
 		addrs: make(map[cardamompass.TargetID]string),
 	}
-	return prb, func() {
-		prb.mut.Lock()
-		cancel()
-		prb.mut.Unlock()
-		prb.wtg.Wait()
+	return prb, prb.stop
+}
+
+func (prb *Prober) stop() {
+	prb.mut.Lock()
+	prb.off = true
+	for tid := range prb.stops {
+		prb.end(tid)
 	}
+	prb.mut.Unlock()
+	prb.wtg.Wait()
 }
 
-// SetTargets replaces the probed targets. In a large fleet these are the VM's own subset.
+// SetTargets replaces the probed targets. In a large fleet these are the VM's own subset. It has no effect after the
+// prober was stopped.
 func (prb *Prober) SetTargets(tgts []cardamompass.Target) {
 	prb.mut.Lock()
 	defer prb.mut.Unlock()
-	if prb.ctx.Err() != nil {
+	if prb.off {
 		return
 	}
 	keep := make(map[cardamompass.TargetID]bool, len(tgts))
@@ -95,7 +99,7 @@
 			continue
 		}
 		prb.end(tgt.ID)
-		ctx, cancel := context.WithCancel(prb.ctx)
+		ctx, cancel := context.WithCancel(context.Background())
 		prb.stops[tgt.ID], prb.addrs[tgt.ID] = cancel, tgt.Address
 		prb.wtg.Go(func() { prb.run(ctx, tgt) })
 	}
@@ -186,8 +190,5 @@
 	if err != nil {
 		return err
 	}
-	if err = json.Unmarshal(body, into); err != nil {
-		return errors.Wrapf(err, "status %d", rsp.StatusCode)
-	}
-	return nil
+	return json.Unmarshal(body, into)
 }
--- a/internal/steer/health/sign.go
+++ b/internal/steer/health/sign.go
@@ -53,6 +53,9 @@
 	}
 }
 
+// MarshalText implements encoding.TextMarshaler for the state dump.
+func (sgn Sign) MarshalText() (text []byte, err error) { return []byte(sgn.String()), nil }
+
 // own reports whether this VM saw the sign itself. Only own signs are sent to peers, so that a report does not circulate.
 func (sgn Sign) own() (yes bool) { return sgn != SignPeer }
 
--- a/internal/steer/queue/queue.go
+++ b/internal/steer/queue/queue.go
@@ -195,6 +195,12 @@
 	}
 }
 
+func (que *Queue) setLength(length int) {
+	que.mut.Lock()
+	defer que.mut.Unlock()
+	que.cfg.Length = length
+}
+
 func (que *Queue) stop() {
 	que.mut.Lock()
 	defer que.mut.Unlock()
--- a/internal/steer/route/reason.go
+++ b/internal/steer/route/reason.go
@@ -67,6 +67,9 @@
 	return reasonNames[rsn]
 }
 
+// MarshalText implements encoding.TextMarshaler for the state dump.
+func (rsn Reason) MarshalText() (text []byte, err error) { return []byte(rsn.String()), nil }
+
 // Candidate is one target that may carry the request.
 type Candidate struct {
 	Target cardamompass.TargetID
