--- /dev/null
+++ b/internal/steer/queue/queue_test.go
@@ -0,0 +1,235 @@
+package queue_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+	"go.uber.org/goleak"
+
+	"cardamompass"
+	"cardamompass/internal/steer/queue"
+)
+
+var seed = flag.Int64("seed", time.Now().UnixNano(), "seed of the properties")
+
+// clock tells the test when a request begins to wait.
+type clock struct {
+	cardamompass.SystemClock
+	waits chan struct{}
+}
+
+func (clk clock) NewTimer(dur time.Duration) cardamompass.Timer {
+	clk.waits <- struct{}{}
+	return clk.SystemClock.NewTimer(dur)
+}
+
+// bench is a queue with a number of free slots and the outcomes of its requests by number.
+type bench struct {
+	clk  clock
+	que  *queue.Queue
+	stop func()
+	wtg  sync.WaitGroup
+
+	mut    sync.Mutex
+	free   int
+	order  []int
+	errs   map[int]error
+	number int
+	last   chan struct{} // closed when the request that was sent last has ended
+}
+
+func newBench(length int) *bench {
+	bch := &bench{
+		clk: clock{
+			waits: make(chan struct{}, 1),
+		},
+		errs: make(map[int]error),
+	}
+	bch.que, bch.stop = queue.New(queue.Config{
+		Length: length,
+		Clock:  bch.clk,
+	})
+	return bch
+}
+
+// send starts a request and returns once it waits or has ended.
+func (bch *bench) send(cls cardamompass.Class, fit string, left time.Duration) (num int) {
+	num, bch.number = bch.number, bch.number+1
+	ended := make(chan struct{})
+	bch.last = ended
+	itm := queue.Item{
+		Class:    cls,
+		Deadline: bch.clk.Now().Add(left),
+		Expected: 10 * time.Millisecond,
+		Fit:      fit,
+	}
+	bch.wtg.Go(func() {
+		defer close(ended)
+		err := bch.que.Wait(context.Background(), itm, func() bool {
+			bch.mut.Lock()
+			defer bch.mut.Unlock()
+			if bch.free == 0 || fit == "never" {
+				return false
+			}
+			bch.free--
+			bch.order = append(bch.order, num)
+			return true
+		})
+		bch.mut.Lock()
+		defer bch.mut.Unlock()
+		bch.errs[num] = err
+	})
+	select {
+	case <-ended:
+	case <-bch.clk.waits:
+	}
+	return num
+}
+
+func reason(err error) string {
+	var nre *cardamompass.NotRunError
+	if errors.As(err, &nre) {
+		return nre.Reason
+	}
+	return fmt.Sprint(err)
+}
+
+// model returns the order in which the waiting requests must get slots, and the number of those that are turned away.
+func model(longs []bool, length int) (order []int, dropped int) {
+	var short, long []int
+	for num, isLong := range longs {
+		full := len(short)+len(long) >= length
+		switch {
+		case full && (isLong || len(long) == 0):
+			dropped++
+			continue
+		case full:
+			dropped++
+			long = long[:len(long)-1]
+		}
+		if isLong {
+			long = append(long, num)
+		} else {
+			short = append(short, num)
+		}
+	}
+	return append(short, long...), dropped
+}
+
+// Guards against a queue that outgrows its bound, serves long requests before short ones, or wakes more than one waiter
+// for a slot.
+func TestBoundedAndOrdered(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	prs := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(*seed))
+	prs.Property("model", prop.ForAll(func(longs []bool, length int) string {
+		bch := newBench(length)
+		for _, isLong := range longs {
+			cls := cardamompass.ClassShort
+			if isLong {
+				cls = cardamompass.ClassLong
+			}
+			bch.send(cls, "gulf", time.Minute)
+			if bch.que.Len() > length {
+				return "queue is longer than its bound"
+			}
+		}
+		want, dropped := model(longs, length)
+		// More slots are free than are released, so that only the number of wake-ups limits the grants.
+		bch.free = len(want) + 1
+		for left := len(want); left > 0; left-- {
+			if !bch.que.Released() || bch.que.Len() != left-1 {
+				return "a slot did not wake exactly one waiter"
+			}
+		}
+		if bch.que.Released() {
+			return "a slot woke a waiter of an empty queue"
+		}
+		bch.wtg.Wait()
+		count := 0
+		for _, err := range bch.errs {
+			if rsn := reason(err); err != nil && rsn != queue.ReasonFull && rsn != queue.ReasonDisplaced {
+				return "drop without its reason: " + rsn
+			} else if err != nil {
+				count++
+			}
+		}
+		if !slices.Equal(bch.order, want) || count != dropped {
+			return fmt.Sprintf("order %v, want %v; %d dropped, want %d", bch.order, want, count, dropped)
+		}
+		return ""
+	}, gen.SliceOf(gen.Bool()), gen.IntRange(1, 12)))
+	prs.TestingRun(t)
+}
+
+// Guards against requests that stay although they cannot finish, against a slot that is lost to one of them, and against
+// an arrival that overtakes a waiter.
+func TestLeavesTheQueue(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	bch := newBench(10)
+	late := bch.send(cardamompass.ClassShort, "gulf", 5*time.Millisecond)
+	first := bch.send(cardamompass.ClassShort, "gulf", 20*time.Millisecond)
+	<-bch.last
+	misfit := bch.send(cardamompass.ClassShort, "never", time.Minute)
+	second := bch.send(cardamompass.ClassShort, "gulf", time.Minute)
+	bch.mut.Lock()
+	bch.free = 1
+	bch.mut.Unlock()
+	overtaking := bch.send(cardamompass.ClassShort, "gulf", time.Minute)
+	if !bch.que.Released() {
+		t.Error("the slot woke nobody")
+	}
+	bch.stop()
+	stopped := bch.send(cardamompass.ClassShort, "gulf", time.Minute)
+	bch.wtg.Wait()
+	want := map[int]string{
+		late:       queue.ReasonLate,
+		first:      queue.ReasonLate,
+		misfit:     queue.ReasonStopped,
+		second:     "<nil>",
+		overtaking: queue.ReasonStopped,
+		stopped:    queue.ReasonStopped,
+	}
+	for num, rsn := range want {
+		if got := reason(bch.errs[num]); got != rsn {
+			t.Errorf("request %d: %s, want %s", num, got, rsn)
+		}
+	}
+}
+
+// Guards against a caller that gave up but stays in the queue, and against waiters that a catalogue edit strands.
+func TestSet(t *testing.T) {
+	set, stop := queue.NewSet(cardamompass.SystemClock{})
+	svcs := []cardamompass.Service{{Name: "core", Class: cardamompass.ClassShort, QueueLength: 1}}
+	set.SetServices(svcs)
+	que := set.Queue("core", cardamompass.ClassShort)
+	wait := func(ctx context.Context) string {
+		return reason(que.Wait(ctx, queue.Item{
+			Class:    cardamompass.ClassShort,
+			Deadline: time.Now().Add(time.Minute),
+		}, func() bool { return false }))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if rsn := wait(ctx); rsn != queue.ReasonCancelled || que.Len() != 0 {
+		t.Errorf("cancelled: %s, %d waiting", rsn, que.Len())
+	}
+	svcs[0].QueueLength = 0
+	set.SetServices(svcs)
+	if rsn := wait(ctx); rsn != queue.ReasonFull || set.Queue("core", cardamompass.ClassShort) != que {
+		t.Errorf("shorter queue: %s", rsn)
+	}
+	set.SetServices(nil)
+	if rsn := wait(ctx); rsn != queue.ReasonStopped || set.Queue("core", cardamompass.ClassShort) != nil {
+		t.Errorf("removed service: %s", rsn)
+	}
+	stop()
+}
--- /dev/null
+++ b/internal/steer/route/diff_test.go
@@ -0,0 +1,55 @@
+package route_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+)
+
+var (
+	seed    = flag.Int64("seed", time.Now().UnixNano(), "seed of the properties")
+	simSeed = flag.Uint64("sim-seed", 0, "seed of the simulation; 0 selects the seeds 1 and 2")
+)
+
+// Guards against a policy that reacts to stragglers too late, or that buys its tail latency with extra load.
+func TestPolicyAgainstNaive(t *testing.T) {
+	seeds := []uint64{1, 2}
+	if *simSeed != 0 {
+		seeds = []uint64{*simSeed}
+	}
+	for _, sed := range seeds {
+		for _, exponential := range []bool{false, true} {
+			t.Run(fmt.Sprintf("seed %d exponential %v", sed, exponential), func(t *testing.T) {
+				t.Parallel()
+				compare(t, simConfig{
+					seed:        sed,
+					stragglers:  true,
+					exponential: exponential,
+				})
+			})
+		}
+	}
+}
+
+func compare(t *testing.T, cfg simConfig) {
+	policy := runSim(cfg)
+	cfg.naive = true
+	naive := runSim(cfg)
+	cfg.naive, cfg.stragglers = false, false
+	calm := runSim(cfg)
+	t.Logf("p99 naive %v, policy %v, policy without stragglers %v; extra %d and %d of %d",
+		naive.p99, policy.p99, calm.p99, policy.extras, calm.extras, policy.requests)
+	if 4*policy.p99 > naive.p99 {
+		t.Errorf("p99 %v is more than a quarter of naive's %v", policy.p99, naive.p99)
+	}
+	if 2*policy.p99 > 3*calm.p99 {
+		t.Errorf("p99 %v is more than 1.5 times the %v without stragglers", policy.p99, calm.p99)
+	}
+	if 100*policy.extras > 3*policy.requests || 100*calm.extras > 3*calm.requests {
+		t.Errorf("%d and %d extra requests are more than 3%% of %d", policy.extras, calm.extras, policy.requests)
+	}
+	if policy.overShare+calm.overShare > 0 {
+		t.Errorf("more in flight than the share %d times", policy.overShare+calm.overShare)
+	}
+}
