--- /dev/null
+++ b/internal/edge/relay/pool.go
@@ -0,0 +1,128 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"cardamompass"
+)
+
+// poolKey separates the connections of each target and class.
+type poolKey struct {
+	address string
+	class   cardamompass.Class
+}
+
+// pool holds the connections to one target for one class.
+type pool struct {
+	transport *http.Transport
+	bound     int
+}
+
+// pool returns the pool for tgt and cls. A pool whose bound has changed is replaced.
+func (rly *Relay) pool(tgt cardamompass.Target, cls cardamompass.Class) (pol *pool, err error) {
+	key := poolKey{
+		address: tgt.Address,
+		class:   cls,
+	}
+	bound := rly.cfg.ShortConnections
+	if cls == cardamompass.ClassLong {
+		bound = rly.cfg.LongConnections
+	}
+	if tgt.Connections > 0 {
+		bound = min(bound, tgt.Connections)
+	}
+	rly.mu.Lock()
+	defer rly.mu.Unlock()
+	if rly.ctx.Err() != nil {
+		return nil, &cardamompass.NotRunError{
+			Reason: "the relay is closed",
+		}
+	}
+	pol, ok := rly.pools[key]
+	if ok && pol.bound == bound {
+		return pol, nil
+	}
+	if ok {
+		pol.transport.CloseIdleConnections()
+	}
+	pol = &pool{
+		transport: rly.transport(bound),
+		bound:     bound,
+	}
+	rly.pools[key] = pol
+	return pol, nil
+}
+
+func (rly *Relay) transport(bound int) *http.Transport {
+	prt := new(http.Protocols)
+	prt.SetHTTP1(true)
+	return &http.Transport{
+		DialContext:            rly.dial,
+		DisableCompression:     true,
+		MaxConnsPerHost:        bound,
+		MaxIdleConnsPerHost:    bound,
+		IdleConnTimeout:        rly.cfg.IdleTimeout,
+		MaxResponseHeaderBytes: int64(rly.cfg.MaxHeaderBytes),
+		Protocols:              prt,
+	}
+}
+
+// dial opens a connection. net/http lets a dial go on after the request that started it has ended; it then ends with
+// the relay or at the dial timeout.
+func (rly *Relay) dial(ctx context.Context, network, address string) (con net.Conn, err error) {
+	rly.mu.Lock()
+	if err = rly.ctx.Err(); err != nil {
+		rly.mu.Unlock()
+		return nil, err
+	}
+	rly.dials.Add(1)
+	rly.mu.Unlock()
+	defer rly.dials.Done()
+
+	ctx, cancel := context.WithTimeout(ctx, rly.cfg.DialTimeout)
+	defer cancel()
+	defer context.AfterFunc(rly.ctx, cancel)()
+	raw, err := new(net.Dialer).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return rly.adopt(raw), nil
+}
+
+// adopt registers a new connection, so that the clean-up function can close it.
+func (rly *Relay) adopt(raw net.Conn) *conn {
+	con := &conn{
+		Conn: raw,
+	}
+	con.closed = func() {
+		rly.mu.Lock()
+		defer rly.mu.Unlock()
+		delete(rly.conns, con)
+	}
+	rly.mu.Lock()
+	rly.conns[con] = struct{}{}
+	over := rly.ctx.Err() != nil
+	rly.mu.Unlock()
+	if over {
+		con.Close() //nolint:errcheck // the relay is closed
+	}
+	return con
+}
+
+// Forget closes the idle connections to a target that left and drops its pools.
+func (rly *Relay) Forget(tgt cardamompass.Target) {
+	rly.mu.Lock()
+	defer rly.mu.Unlock()
+	for _, cls := range []cardamompass.Class{cardamompass.ClassShort, cardamompass.ClassLong} {
+		key := poolKey{
+			address: tgt.Address,
+			class:   cls,
+		}
+		if pol, ok := rly.pools[key]; ok {
+			pol.transport.CloseIdleConnections()
+			delete(rly.pools, key)
+		}
+	}
+}
