relay: fix a deadlock on closing idle connections; tests

Cause: CloseIdleConnections closes connections while the relay's lock is held, and the close took the same lock. Change: a lock of its own for the set of connections; tests over raw TCP targets; a benchmark. Conclusion: the forms of bad answers end as unknown; net/http does not re-send.

--- /dev/null
+++ b/internal/edge/relay/limits_test.go
@@ -0,0 +1,219 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"cardamompass"
+	"cardamompass/internal/edge/relay"
+)
+
+// Guards against a not-run that is not true, and against one that is withheld although it is certain.
+func TestNotRun(t *testing.T) {
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing := cardamompass.Target{
+		ID:      "raw-1",
+		Address: lsn.Addr().String(),
+	}
+	lsn.Close()
+	shedding, _ := rawTarget(t, func(con *net.TCPConn, id string) bool {
+		fmt.Fprintf(con, "HTTP/1.1 503 Busy\r\nCardamompass-Request-Id: %s\r\nCardamompass-Shed: true\r\n"+
+			"Cardamompass-State: draining\r\nContent-Length: 0\r\n\r\n", id)
+		return true
+	})
+	foreign, _ := rawTarget(t, func(con *net.TCPConn, _ string) bool {
+		io.WriteString(con, "HTTP/1.1 503 Busy\r\nCardamompass-Shed: true\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	arrived := make(chan struct{})
+	stalled, _ := rawTarget(t, func(con *net.TCPConn, _ string) bool {
+		close(arrived)
+		con.Read(make([]byte, 1))
+		return false
+	})
+	stalled.Connections = 1
+	var drained []cardamompass.TargetID
+	rly := newRelay(t, relay.Config{
+		Draining: func(tid cardamompass.TargetID) { drained = append(drained, tid) },
+	})
+	busy, release := context.WithCancel(t.Context())
+	first := make(chan error)
+	go func() {
+		_, err := rly.Do(busy, attempt(stalled, "a-0"))
+		first <- err
+	}()
+	<-arrived
+	bounded := attempt(stalled, "a-1")
+	bounded.Request.Deadline = time.Now().Add(50 * time.Millisecond)
+	over := attempt(shedding, "a-1")
+	over.Request.Deadline = time.Now().Add(-time.Second)
+	tests := []struct {
+		name   string
+		atm    relay.Attempt
+		notRun bool
+	}{
+		{name: "connection refused", atm: attempt(refusing, "a-1"), notRun: true},
+		{name: "shed by the target", atm: attempt(shedding, "a-1"), notRun: true},
+		{name: "shed in an answer to another request", atm: attempt(foreign, "a-1")},
+		{name: "no room for a connection before the deadline", atm: bounded, notRun: true},
+		{name: "deadline passed before", atm: over, notRun: true},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			_, err := rly.Do(t.Context(), tst.atm)
+			var nre *cardamompass.NotRunError
+			if errors.As(err, &nre) != tst.notRun || err == nil {
+				t.Fatalf("error %v, want not-run %v", err, tst.notRun)
+			}
+		})
+	}
+	if len(drained) != 1 {
+		t.Errorf("drain signs %v, want one", drained)
+	}
+	release()
+	var uoe *cardamompass.UnknownOutcomeError
+	if err := <-first; err == nil || errors.As(err, &uoe) && uoe.Broken {
+		t.Errorf("cancelled attempt: %v", err)
+	}
+	if rch := rly.Probe(t.Context(), refusing); rch != relay.ReachRefused {
+		t.Errorf("probe of a closed port: %v", rch)
+	}
+	if rch := rly.Probe(t.Context(), shedding); rch != relay.ReachOpen {
+		t.Errorf("probe of an open port: %v", rch)
+	}
+}
+
+// Guards against net/http sending a request a second time on another connection when a kept connection breaks, which
+// it does for requests without a body.
+func TestNoResend(t *testing.T) {
+	for _, key := range []string{"Idempotency-Key", "X-Other"} {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			t.Run(method+" "+key, func(t *testing.T) {
+				tgt, runs := rawTarget(t, func(con *net.TCPConn, id string) bool {
+					if id == "a-0" {
+						return say(con, id, whole)
+					}
+					return false
+				})
+				rly := newRelay(t, relay.Config{})
+				for idx := range 2 {
+					atm := attempt(tgt, fmt.Sprint("a-", idx))
+					atm.Request.Method, atm.Request.Body = method, nil
+					atm.Request.Header = http.Header{
+						key: []string{"1"},
+					}
+					_, err := rly.Do(t.Context(), atm)
+					var uoe *cardamompass.UnknownOutcomeError
+					if idx == 1 && (!errors.As(err, &uoe) || !uoe.Broken) {
+						t.Errorf("error %v, want an unknown outcome", err)
+					}
+				}
+				if runs.Load() != 2 {
+					t.Errorf("the target got %d requests, want 2", runs.Load())
+				}
+			})
+		}
+	}
+}
+
+// Guards against a cut long answer that ends like a whole one, and against a resumption that mixes two contents.
+func TestLongAnswers(t *testing.T) {
+	ranged := func(tag, total string) string {
+		return "HTTP/1.1 206 Partial\r\nETag: " + tag + "\r\nContent-Range: bytes 2-4/" + total +
+			"\r\nContent-Length: 3\r\nCardamompass-Request-Id: a-1-resume-1\r\n\r\nllo"
+	}
+	tests := []struct {
+		name   string
+		tag    string
+		resume string
+		want   string
+	}{
+		{name: "resumed", tag: `"v1"`, resume: ranged(`"v1"`, "5"), want: "hello"},
+		{name: "weak validator", tag: `W/"v1"`, resume: ranged(`W/"v1"`, "5")},
+		{name: "no validator", tag: "", resume: ranged("", "5")},
+		{name: "content changed", tag: `"v1"`, resume: ranged(`"v2"`, "5")},
+		{name: "other length", tag: `"v1"`, resume: ranged(`"v1"`, "6")},
+		{name: "whole content again", tag: `"v1"`, resume: "HTTP/1.1 200 OK\r\nETag: \"v1\"\r\n" +
+			"Cardamompass-Request-Id: a-1-resume-1\r\n" + whole},
+		{name: "always cut", tag: `"v1"`, resume: ""},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			tgt, runs := rawTarget(t, func(con *net.TCPConn, id string) bool {
+				if id == "a-1" {
+					return cut(con, id, "ETag: "+tst.tag+"\r\nContent-Length: 5\r\n\r\nhe")
+				}
+				io.WriteString(con, tst.resume)
+				return false
+			})
+			rly := newRelay(t, relay.Config{})
+			atm := attempt(tgt, "a-1")
+			atm.Class, atm.Request.Method, atm.Request.Idempotent = cardamompass.ClassLong, http.MethodGet, true
+			ans, err := rly.Do(t.Context(), atm)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ans.Body.Close()
+			body, err := io.ReadAll(ans.Body)
+			if (err == nil) != (tst.want != "") || (err == nil && string(body) != tst.want) || errors.Is(err, io.EOF) {
+				t.Fatalf("body %q, error %v, want %q", body, err, tst.want)
+			}
+			if runs.Load() > 4 {
+				t.Errorf("%d requests, want at most 3 resumptions", runs.Load())
+			}
+		})
+	}
+}
+
+// BenchmarkDo compares an attempt with a direct call of http.Client.
+func BenchmarkDo(b *testing.B) {
+	srv := httptest.NewServer(http.HandlerFunc(func(wrt http.ResponseWriter, req *http.Request) {
+		io.Copy(io.Discard, req.Body)
+		wrt.Header().Set(cardamompass.HeaderRequestID, req.Header.Get(cardamompass.HeaderRequestID))
+		wrt.Write(make([]byte, 1000))
+	}))
+	defer srv.Close()
+	b.Run("client", func(b *testing.B) {
+		clt := srv.Client()
+		b.ReportAllocs()
+		for b.Loop() {
+			ctx, cancel := context.WithTimeout(b.Context(), 10*time.Second)
+			req, _ := http.NewRequestWithContext(ctx, http.MethodPost, srv.URL+"/refund", nil)
+			rsp, err := clt.Do(req)
+			if err != nil {
+				b.Fatal(err)
+			}
+			io.ReadAll(rsp.Body)
+			rsp.Body.Close()
+			cancel()
+		}
+		clt.CloseIdleConnections()
+	})
+	b.Run("relay", func(b *testing.B) {
+		rly := newRelay(b, relay.Config{})
+		tgt := cardamompass.Target{
+			ID:      "t",
+			Address: srv.Listener.Addr().String(),
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			atm := attempt(tgt, "a-1")
+			atm.Request.Body = nil
+			ans, err := rly.Do(b.Context(), atm)
+			if err != nil {
+				b.Fatal(err)
+			}
+			ans.Body.Close()
+		}
+	})
+}
--- a/internal/edge/relay/pool.go
+++ b/internal/edge/relay/pool.go
@@ -97,14 +97,14 @@
 		Conn: raw,
 	}
 	con.closed = func() {
-		rly.mu.Lock()
-		defer rly.mu.Unlock()
+		rly.conMu.Lock()
+		defer rly.conMu.Unlock()
 		delete(rly.conns, con)
 	}
-	rly.mu.Lock()
+	rly.conMu.Lock()
 	rly.conns[con] = struct{}{}
 	over := rly.ctx.Err() != nil
-	rly.mu.Unlock()
+	rly.conMu.Unlock()
 	if over {
 		con.Close() //nolint:errcheck // the relay is closed
 	}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -81,6 +81,8 @@
 
 	mu    sync.Mutex
 	pools map[poolKey]*pool
+
+	conMu sync.Mutex // taken after mu: net/http closes idle connections while mu is held
 	conns map[*conn]struct{}
 }
 
@@ -208,11 +210,13 @@
 	for _, pol := range rly.pools {
 		pol.transport.CloseIdleConnections()
 	}
+	rly.mu.Unlock()
+	rly.conMu.Lock()
 	open := make([]*conn, 0, len(rly.conns))
 	for con := range rly.conns {
 		open = append(open, con)
 	}
-	rly.mu.Unlock()
+	rly.conMu.Unlock()
 	for _, con := range open {
 		con.Close() //nolint:errcheck // the connection is given up
 	}
