--- /dev/null
+++ b/internal/edge/oper/sim_test.go
@@ -0,0 +1,246 @@
+package oper_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"strings"
+	"sync"
+	"time"
+
+	"cardamompass"
+	"cardamompass/internal/edge/oper"
+)
+
+var errLost = errors.New("connection lost")
+
+// skewed is a clock with an offset and a rate of its own.
+type skewed struct {
+	cardamompass.SystemClock
+	base   time.Time
+	offset time.Duration
+	rate   float64
+}
+
+func (skw skewed) Now() time.Time {
+	return skw.base.Add(skw.offset + time.Duration(float64(time.Since(skw.base))*skw.rate))
+}
+
+// node is one run of one entry VM.
+type node struct {
+	vm      cardamompass.VM
+	clk     skewed
+	svc     *oper.Service
+	cleanup func()
+	resume  time.Time // paused until then
+	dead    bool
+}
+
+// world holds three VMs, their network and the targets. Everything happens in the fake time of testing/synctest.
+type world struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	naive   bool
+	nodes   []*node // current run of each VM
+	all     []*node
+	members []cardamompass.Member
+	blocked map[string]bool
+	arrived map[string][]time.Time // executions at targets by request
+	sent    map[string][]time.Time // sendings by the caller
+	notRun  map[string][]time.Time // times at which the caller was told not-run
+}
+
+func (wld *world) chance(percent int) bool { return wld.number(100) < percent }
+
+func (wld *world) number(limit int) int {
+	wld.mu.Lock()
+	defer wld.mu.Unlock()
+	return wld.rng.Intn(limit)
+}
+
+// delay sleeps for a random time, rarely for a long one, so that messages overtake each other.
+func (wld *world) delay() {
+	span := time.Duration(wld.number(40_000)+1) * time.Microsecond
+	if wld.chance(15) {
+		span *= 60
+	}
+	time.Sleep(span)
+}
+
+// awake waits while nod is paused. It reports false when nod is dead.
+func (wld *world) awake(nod *node) bool {
+	for {
+		wld.mu.Lock()
+		wait, dead := time.Until(nod.resume), nod.dead
+		wld.mu.Unlock()
+		if dead {
+			return false
+		}
+		if wait <= 0 {
+			return true
+		}
+		time.Sleep(wait)
+	}
+}
+
+// execute is one attempt at a target. It counts the arrival, which may come after the attempt was given up.
+func (wld *world) execute(nod *node) oper.Execute {
+	return func(ctx context.Context, req cardamompass.Request) (cardamompass.Answer, error) {
+		if !wld.awake(nod) {
+			return cardamompass.Answer{}, errLost
+		}
+		switch wld.number(6) {
+		case 0:
+			wld.delay()
+			return cardamompass.Answer{}, &cardamompass.NotRunError{
+				Reason: "shed",
+			}
+		case 1:
+			return cardamompass.Answer{}, &cardamompass.UnknownOutcomeError{
+				Reason: "cut",
+			}
+		}
+		wld.delay()
+		wld.mu.Lock()
+		wld.arrived[string(req.ID)] = append(wld.arrived[string(req.ID)], time.Now())
+		wld.mu.Unlock()
+		wld.delay()
+		if wld.chance(20) || ctx.Err() != nil || !wld.awake(nod) {
+			return cardamompass.Answer{}, errLost
+		}
+		return cardamompass.Answer{
+			Status: 200,
+			Body:   io.NopCloser(strings.NewReader(string(req.ID))),
+		}, nil
+	}
+}
+
+// link is the network as one VM sees it: a membership and a peer caller.
+type link struct {
+	wld  *world
+	from *node
+}
+
+func (lnk link) Self() cardamompass.Member { return lnk.Members()[0] }
+
+func (lnk link) Members() []cardamompass.Member {
+	lnk.wld.mu.Lock()
+	defer lnk.wld.mu.Unlock()
+	return append([]cardamompass.Member(nil), lnk.wld.members...)
+}
+
+func (lnk link) Call(ctx context.Context, address, method string, args, reply any) (err error) {
+	wld := lnk.wld
+	wld.mu.Lock()
+	var peer *node
+	for _, nod := range wld.nodes {
+		if nod.vm.PeerAddress == address {
+			peer = nod
+		}
+	}
+	there, back := wld.blocked[lnk.from.vm.PeerAddress+address], wld.blocked[address+lnk.from.vm.PeerAddress]
+	dead := peer.dead
+	wld.mu.Unlock()
+	if dead || ctx.Err() != nil {
+		return &cardamompass.PeerUnsentError{
+			Address: address,
+			Err:     errLost,
+		}
+	}
+	done := make(chan error, 1)
+	answer := newReply(method)
+	go func() {
+		wld.delay()
+		if there || !wld.awake(peer) {
+			return
+		}
+		done <- dispatch(peer.svc, method, args, answer)
+	}()
+	select {
+	case err = <-done:
+		if back || !wld.awake(peer) {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		wld.delay()
+		copyReply(reply, answer)
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func newReply(method string) any {
+	if method == "Oper.Handover" {
+		return new(oper.HandoverReply)
+	}
+	return new(oper.Reply)
+}
+
+func copyReply(dst, src any) {
+	switch dst := dst.(type) {
+	case *oper.HandoverReply:
+		*dst = *src.(*oper.HandoverReply)
+	case *oper.Reply:
+		*dst = *src.(*oper.Reply)
+	}
+}
+
+func dispatch(svc *oper.Service, method string, args, reply any) error {
+	switch args := args.(type) {
+	case *oper.ForwardArgs:
+		return svc.Forward(args, reply.(*oper.Reply))
+	case *oper.Part:
+		return svc.Handover(args, reply.(*oper.HandoverReply))
+	case *oper.QueryArgs:
+		return svc.Query(args, reply.(*oper.Reply))
+	}
+	return fmt.Errorf("method %s", method)
+}
+
+// start begins a run of VM idx.
+func (wld *world) start(idx int) (nod *node) {
+	nod = &node{
+		vm: cardamompass.VM{
+			ID:          cardamompass.VMID(fmt.Sprint("vm-", idx)),
+			Incarnation: cardamompass.Incarnation(time.Now().UnixNano()),
+			PeerAddress: fmt.Sprint("peer-", idx),
+		},
+		clk: skewed{
+			base:   time.Now(),
+			offset: time.Duration(wld.number(80_000)-40_000) * time.Millisecond,
+			rate:   1 + float64(wld.number(200)-100)/10_000,
+		},
+	}
+	tab, err := oper.NewTable(oper.TableConfig{
+		Self:  nod.vm,
+		Clock: nod.clk,
+	})
+	if err != nil {
+		panic(err)
+	}
+	lnk := link{
+		wld:  wld,
+		from: nod,
+	}
+	nod.svc, nod.cleanup, err = oper.New(oper.Config{
+		Table:      tab,
+		Membership: lnk,
+		Peers:      lnk,
+		Clock:      nod.clk,
+		Execute:    wld.execute(nod),
+	})
+	if err != nil {
+		panic(err)
+	}
+	wld.mu.Lock()
+	defer wld.mu.Unlock()
+	wld.nodes[idx] = nod
+	wld.all = append(wld.all, nod)
+	wld.members[idx] = cardamompass.Member{
+		VM: nod.vm,
+	}
+	return nod
+}
