oper: table tests; draws of the simulation by hash

Change: draws come from a hash of seed, fake time and key; lost and unsent peer calls; tests of the table, of the handover and of a run that outlives its caller.

--- a/internal/edge/oper/prop_test.go
+++ b/internal/edge/oper/prop_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"flag"
 	"fmt"
-	"math/rand"
 	"slices"
 	"sync"
 	"testing"
@@ -32,19 +31,19 @@
 
 // fault lets one thing go wrong.
 func (wld *world) fault() {
-	idx := wld.number(3)
+	idx := wld.number("victim", 3)
 	wld.mu.Lock()
 	nod := wld.nodes[idx]
 	wld.mu.Unlock()
-	switch wld.number(4) {
+	switch wld.number("fault", 4) {
 	case 0:
 		wld.crash(idx, nod)
 	case 1:
 		wld.mu.Lock()
-		nod.resume = time.Now().Add(time.Duration(wld.rng.Intn(8000)) * time.Millisecond)
+		nod.resume = time.Now().Add(time.Duration(wld.number("pause", 8000)) * time.Millisecond)
 		wld.mu.Unlock()
 	case 2:
-		peer := fmt.Sprint("peer-", wld.number(3))
+		peer := fmt.Sprint("peer-", wld.number("peer", 3))
 		wld.mu.Lock()
 		wld.blocked[nod.vm.PeerAddress+peer] = !wld.blocked[nod.vm.PeerAddress+peer]
 		wld.mu.Unlock()
@@ -60,7 +59,7 @@
 	wld.members[idx].State = cardamompass.StateDead
 	wld.mu.Unlock()
 	nod.cleanup()
-	wld.delay()
+	wld.delay("restart")
 	wld.start(idx)
 }
 
@@ -78,25 +77,25 @@
 	wld.members[idx].State = cardamompass.StateLeft
 	wld.members[idx].Successor = successor.ID
 	wld.mu.Unlock()
-	time.Sleep(time.Duration(wld.number(10_000)) * time.Millisecond)
+	time.Sleep(time.Duration(wld.number("left", 10_000)) * time.Millisecond)
 	wld.crash(idx, nod)
 }
 
 // call sends an operation again and again until it gets an answer. Sendings overlap: a caller gives up early at times.
 func (wld *world) call(num int) {
-	wld.delay()
+	rid := fmt.Sprint("op-", num)
+	wld.delay(rid)
 	wld.mu.Lock()
-	home := wld.nodes[wld.rng.Intn(3)]
-	issuer := wld.nodes[wld.rng.Intn(3)]
+	home := wld.nodes[wld.number(rid+"home", 3)]
+	issuer := wld.nodes[wld.number(rid+"issuer", 3)]
 	wld.mu.Unlock()
-	rid := fmt.Sprint("op-", num)
 	req := cardamompass.Request{
 		ID:     cardamompass.RequestID(rid),
 		Ticket: oper.Issue(home.vm, issuer.clk.Now()).String(),
 		Method: "POST",
 		Path:   "/refund",
 	}
-	counts := wld.chance(70)
+	counts := wld.chance(rid+"counts", 70)
 	for idx := range sendings {
 		if counts {
 			req.Attempt = idx + 1
@@ -104,7 +103,7 @@
 		if wld.send(req, rid) {
 			return
 		}
-		if wld.chance(5) {
+		if wld.chance(rid+"late", 5) {
 			time.Sleep(11 * time.Minute)
 		}
 	}
@@ -113,15 +112,15 @@
 // send is one sending through a random VM. It reports whether the caller is done.
 func (wld *world) send(req cardamompass.Request, rid string) (done bool) {
 	wld.mu.Lock()
-	entry := wld.nodes[wld.rng.Intn(3)]
+	entry := wld.nodes[wld.number(rid+"entry", 3)]
 	wld.sent[rid] = append(wld.sent[rid], time.Now())
 	wld.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(wld.number(4000)+1)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(wld.number(rid+"patience", 4000)+1)*time.Millisecond)
 	defer cancel()
 	req.Deadline = entry.clk.Now().Add(4 * time.Second)
 	result := make(chan error, 1)
 	go func() {
-		wld.delay()
+		wld.delay(rid + "there")
 		if wld.awake(entry) {
 			result <- wld.run(entry, ctx, req)
 		}
@@ -136,7 +135,7 @@
 			wld.mu.Lock()
 			wld.notRun[rid] = append(wld.notRun[rid], time.Now())
 			wld.mu.Unlock()
-			wld.delay()
+			wld.delay(rid + "back")
 		}
 		return err == nil
 	case <-ctx.Done():
@@ -164,7 +163,7 @@
 func play(t *testing.T, seed int64, naive bool) (twice, untrue, answered int) {
 	synctest.Test(t, func(*testing.T) {
 		wld := &world{
-			rng:     rand.New(rand.NewSource(seed)),
+			seed:    seed,
 			naive:   naive,
 			nodes:   make([]*node, 3),
 			members: make([]cardamompass.Member, 3),
@@ -182,7 +181,7 @@
 		}
 		wgr.Go(func() {
 			for range 6 {
-				wld.delay()
+				wld.delay("fault")
 				wld.fault()
 			}
 		})
@@ -200,6 +199,8 @@
 // verdict counts operations that ran twice and not-runs that were not true: the operation ran before, or afterwards
 // although the caller did not send it again in between.
 func (wld *world) verdict() (twice, untrue, answered int) {
+	wld.mu.Lock()
+	defer wld.mu.Unlock()
 	for rid, runs := range wld.arrived {
 		answered++
 		if len(runs) > 1 {
--- a/internal/edge/oper/sim_test.go
+++ b/internal/edge/oper/sim_test.go
@@ -5,11 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cardamompass"
 	"cardamompass/internal/edge/oper"
 )
@@ -41,7 +42,7 @@
 // world holds three VMs, their network and the targets. Everything happens in the fake time of testing/synctest.
 type world struct {
 	mu      sync.Mutex
-	rng     *rand.Rand
+	seed    int64
 	naive   bool
 	nodes   []*node // current run of each VM
 	all     []*node
@@ -52,18 +53,19 @@
 	notRun  map[string][]time.Time // times at which the caller was told not-run
 }
 
-func (wld *world) chance(percent int) bool { return wld.number(100) < percent }
+func (wld *world) chance(key string, percent int) bool { return wld.number(key, 100) < percent }
 
-func (wld *world) number(limit int) int {
-	wld.mu.Lock()
-	defer wld.mu.Unlock()
-	return wld.rng.Intn(limit)
+// number draws from a hash of the seed, the fake time and key, so that a draw does not depend on the order in which
+// the goroutines that are ready at one instant are scheduled.
+func (wld *world) number(key string, limit int) int {
+	text := fmt.Sprint(wld.seed, time.Now().UnixNano(), key, limit)
+	return int(xxhash.Sum64String(text) % uint64(limit))
 }
 
 // delay sleeps for a random time, rarely for a long one, so that messages overtake each other.
-func (wld *world) delay() {
-	span := time.Duration(wld.number(40_000)+1) * time.Microsecond
-	if wld.chance(15) {
+func (wld *world) delay(key string) {
+	span := time.Duration(wld.number(key, 40_000)+1) * time.Microsecond
+	if wld.chance(key, 15) {
 		span *= 60
 	}
 	time.Sleep(span)
@@ -88,12 +90,13 @@
 // execute is one attempt at a target. It counts the arrival, which may come after the attempt was given up.
 func (wld *world) execute(nod *node) oper.Execute {
 	return func(ctx context.Context, req cardamompass.Request) (cardamompass.Answer, error) {
+		key := fmt.Sprint("target", req.ID, nod.vm.ID)
 		if !wld.awake(nod) {
 			return cardamompass.Answer{}, errLost
 		}
-		switch wld.number(6) {
+		switch wld.number(key, 6) {
 		case 0:
-			wld.delay()
+			wld.delay(key)
 			return cardamompass.Answer{}, &cardamompass.NotRunError{
 				Reason: "shed",
 			}
@@ -102,12 +105,12 @@
 				Reason: "cut",
 			}
 		}
-		wld.delay()
+		wld.delay(key)
 		wld.mu.Lock()
 		wld.arrived[string(req.ID)] = append(wld.arrived[string(req.ID)], time.Now())
 		wld.mu.Unlock()
-		wld.delay()
-		if wld.chance(20) || ctx.Err() != nil || !wld.awake(nod) {
+		wld.delay(key)
+		if wld.chance(key, 20) || ctx.Err() != nil || !wld.awake(nod) {
 			return cardamompass.Answer{}, errLost
 		}
 		return cardamompass.Answer{
@@ -133,6 +136,10 @@
 
 func (lnk link) Call(ctx context.Context, address, method string, args, reply any) (err error) {
 	wld := lnk.wld
+	key := fmt.Sprint(lnk.from.vm.ID, address, method)
+	if fwd, ok := args.(*oper.ForwardArgs); ok {
+		key += string(fwd.Request.ID)
+	}
 	wld.mu.Lock()
 	var peer *node
 	for _, nod := range wld.nodes {
@@ -143,7 +150,7 @@
 	there, back := wld.blocked[lnk.from.vm.PeerAddress+address], wld.blocked[address+lnk.from.vm.PeerAddress]
 	dead := peer.dead
 	wld.mu.Unlock()
-	if dead || ctx.Err() != nil {
+	if dead || ctx.Err() != nil || wld.chance(key+"dial", 5) {
 		return &cardamompass.PeerUnsentError{
 			Address: address,
 			Err:     errLost,
@@ -152,19 +159,22 @@
 	done := make(chan error, 1)
 	answer := newReply(method)
 	go func() {
-		wld.delay()
+		wld.delay(key)
 		if there || !wld.awake(peer) {
 			return
 		}
 		done <- dispatch(peer.svc, method, args, answer)
 	}()
+	if wld.chance(key+"cut", 10) {
+		return errLost
+	}
 	select {
 	case err = <-done:
 		if back || !wld.awake(peer) {
 			<-ctx.Done()
 			return ctx.Err()
 		}
-		wld.delay()
+		wld.delay(key)
 		copyReply(reply, answer)
 		return err
 	case <-ctx.Done():
@@ -210,8 +220,8 @@
 		},
 		clk: skewed{
 			base:   time.Now(),
-			offset: time.Duration(wld.number(80_000)-40_000) * time.Millisecond,
-			rate:   1 + float64(wld.number(200)-100)/10_000,
+			offset: time.Duration(wld.number(fmt.Sprint("offset", idx), 80_000)-40_000) * time.Millisecond,
+			rate:   1 + float64(wld.number(fmt.Sprint("rate", idx), 200)-100)/10_000,
 		},
 	}
 	tab, err := oper.NewTable(oper.TableConfig{
--- /dev/null
+++ b/internal/edge/oper/table_test.go
@@ -0,0 +1,233 @@
+package oper_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cardamompass"
+	"cardamompass/internal/edge/oper"
+)
+
+// manual is a clock that the test moves.
+type manual struct {
+	cardamompass.SystemClock
+	now time.Time
+}
+
+func (man *manual) Now() time.Time { return man.now }
+
+var (
+	homeVM = cardamompass.VM{
+		ID:          "home",
+		Incarnation: 7,
+	}
+	nextVM = cardamompass.VM{
+		ID:          "next",
+		Incarnation: 8,
+	}
+)
+
+func newTable(t *testing.T, self cardamompass.VM, records int) (tab *oper.Table, man *manual) {
+	t.Helper()
+	man = &manual{
+		now: time.Unix(1_700_000_000, 0),
+	}
+	tab, err := oper.NewTable(oper.TableConfig{
+		Self:           self,
+		Clock:          man,
+		MaxRecords:     records,
+		MaxAnswerBytes: 6 << 20,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tab, man
+}
+
+func operation(man *manual, rid string, age time.Duration) oper.Operation {
+	return oper.Operation{
+		Ticket:  oper.Issue(homeVM, man.now.Add(-age)),
+		Request: cardamompass.RequestID(rid),
+	}
+}
+
+// begin returns the state that a sending finds, "run" if it may run, or "invalid".
+func begin(tab *oper.Table, opn oper.Operation, hsh oper.Hash, attempt int) string {
+	run, pnd, err := tab.Begin(opn, hsh, attempt)
+	if run || err != nil {
+		return map[bool]string{true: "run", false: "invalid"}[run]
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return pnd.Wait(ctx).State.String()
+}
+
+// Guards against a record that decides wrongly about the next sending, and a refusal that claims too much.
+func TestTable(t *testing.T) {
+	finish := func(stt oper.State) func(*oper.Table, *manual, oper.Operation) {
+		return func(tab *oper.Table, _ *manual, opn oper.Operation) {
+			begin(tab, opn, oper.Hash{}, 1)
+			tab.Finish(opn, oper.Outcome{State: stt})
+		}
+	}
+	tests := []struct {
+		name    string
+		before  func(*oper.Table, *manual, oper.Operation)
+		age     time.Duration
+		attempt int
+		hash    oper.Hash
+		want    string
+	}{
+		{name: "new", attempt: 1, want: "run"},
+		{name: "new, attempts not counted", want: "run"},
+		{name: "oldest ticket", age: 5 * time.Minute, want: "run"},
+		{name: "expired ticket", age: 5*time.Minute + time.Second, attempt: 1, want: "unknown"},
+		{name: "earliest ticket", age: -30 * time.Second, want: "run"},
+		{name: "early ticket, first sending", age: -31 * time.Second, attempt: 1, want: "not-run"},
+		{name: "early ticket, re-sending", age: -31 * time.Second, attempt: 2, want: "unknown"},
+		{name: "early ticket, not counted", age: -31 * time.Second, want: "unknown"},
+		{name: "running", before: func(tab *oper.Table, _ *manual, opn oper.Operation) {
+			begin(tab, opn, oper.Hash{}, 1)
+		}, attempt: 2, want: "unknown"},
+		{name: "answered", before: finish(oper.StateAnswered), attempt: 2, want: "answered"},
+		{name: "unknown", before: finish(oper.StateUnknown), attempt: 2, want: "unknown"},
+		{name: "other content", before: finish(oper.StateAnswered), attempt: 2, hash: oper.Hash{1}, want: "invalid"},
+		{name: "not run, sent again", before: finish(oper.StateNotRun), attempt: 2, want: "run"},
+		{name: "not run, late copy", before: finish(oper.StateNotRun), attempt: 1, want: "not-run"},
+		{name: "not run, not counted", before: finish(oper.StateNotRun), want: "not-run"},
+		{name: "no room, first sending", before: func(tab *oper.Table, man *manual, _ oper.Operation) {
+			begin(tab, operation(man, "x", 0), oper.Hash{}, 1)
+			begin(tab, operation(man, "y", 0), oper.Hash{}, 1)
+		}, attempt: 1, want: "not-run"},
+		{name: "retained to the end", before: func(tab *oper.Table, man *manual, opn oper.Operation) {
+			finish(oper.StateAnswered)(tab, man, opn)
+			man.now = man.now.Add(oper.Retention - 1)
+		}, want: "answered"},
+		{name: "dropped after retention", before: func(tab *oper.Table, man *manual, opn oper.Operation) {
+			finish(oper.StateAnswered)(tab, man, opn)
+			man.now = man.now.Add(oper.Retention)
+		}, attempt: 1, want: "unknown"},
+		{name: "closed by a planned stop", before: func(tab *oper.Table, _ *manual, _ oper.Operation) {
+			tab.Export(context.Background())
+		}, attempt: 2, want: "not-run"},
+		{name: "answer over the bound", before: func(tab *oper.Table, _ *manual, opn oper.Operation) {
+			begin(tab, opn, oper.Hash{}, 1)
+			tab.Finish(opn, oper.Outcome{
+				State: oper.StateAnswered,
+				Body:  make([]byte, oper.MaxKeptBytes+1),
+			})
+		}, attempt: 2, want: "ran"},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			tab, man := newTable(t, homeVM, 2)
+			opn := operation(man, "op", tst.age)
+			if tst.before != nil {
+				tst.before(tab, man, opn)
+			}
+			if got := begin(tab, opn, tst.hash, tst.attempt); got != tst.want {
+				t.Fatalf("got %s, want %s", got, tst.want)
+			}
+		})
+	}
+}
+
+// Guards against a successor that claims not-run while records are missing, against messages over the bound, and
+// against an import that is not idempotent.
+func TestHandover(t *testing.T) {
+	tab, man := newTable(t, homeVM, 1000)
+	for idx := range 100 {
+		opn := operation(man, fmt.Sprint("op-", idx), 0)
+		begin(tab, opn, oper.Hash{}, 1)
+		tab.Finish(opn, oper.Outcome{
+			State: oper.StateAnswered,
+			Body:  bytes.Repeat([]byte("b"), idx*600),
+		})
+	}
+	open := operation(man, "open", 0)
+	begin(tab, open, oper.Hash{}, 1)
+	over, cancel := context.WithCancel(t.Context())
+	cancel()
+	prs := tab.Export(over)
+	next, _ := newTable(t, nextVM, 1000)
+	absent := operation(man, "absent", 0)
+	if got := next.Status(absent).State; got != oper.StateUnknown {
+		t.Errorf("before the handover: %v, want unknown", got)
+	}
+	for idx, prt := range prs {
+		var buf bytes.Buffer
+		if err := gob.NewEncoder(&buf).Encode(prt); err != nil || buf.Len() > oper.MaxPartBytes {
+			t.Fatalf("part %d has %d bytes, error %v", idx, buf.Len(), err)
+		}
+		if got := next.Status(absent).State; got != oper.StateUnknown {
+			t.Errorf("after %d of %d parts: %v, want unknown", idx, len(prs), got)
+		}
+		for range 2 {
+			if err := next.Import(prt); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if len(prs) < 2 || next.Len() != 101 {
+		t.Errorf("%d parts, %d records", len(prs), next.Len())
+	}
+	for opn, want := range map[oper.Operation]oper.State{
+		absent:                                oper.StateNotRun,
+		open:                                  oper.StateUnknown,
+		operation(man, "op-99", 0):            oper.StateAnswered,
+		operation(man, "old", 10*time.Minute): oper.StateUnknown,
+	} {
+		if got := next.Status(opn).State; got != want {
+			t.Errorf("%s: %v, want %v", opn.Request, got, want)
+		}
+	}
+	if err := tab.Import(prs[0]); err == nil {
+		t.Error("the home took its own records")
+	}
+}
+
+// Guards against a run that ends with its caller's connection, so that a re-send would not find the outcome.
+func TestRunOutlivesCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wld := &world{
+			nodes:   make([]*node, 1),
+			members: make([]cardamompass.Member, 1),
+		}
+		nod := wld.start(0)
+		defer nod.cleanup()
+		req := cardamompass.Request{
+			ID:       "op",
+			Ticket:   oper.Issue(nod.vm, nod.clk.Now()).String(),
+			Deadline: nod.clk.Now().Add(10 * time.Second),
+		}
+		runs := 0
+		execute := func(context.Context, cardamompass.Request) (cardamompass.Answer, error) {
+			runs++
+			time.Sleep(2 * time.Second)
+			return cardamompass.Answer{
+				Body: io.NopCloser(strings.NewReader("done")),
+			}, nil
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var uoe *cardamompass.UnknownOutcomeError
+		if _, err := nod.svc.Run(ctx, req, execute); !errors.As(err, &uoe) {
+			t.Errorf("error %v, want unknown", err)
+		}
+		ans, err := nod.svc.Run(t.Context(), req, execute)
+		if err != nil || runs != 1 {
+			t.Fatalf("error %v after %d runs", err, runs)
+		}
+		if body, _ := io.ReadAll(ans.Body); string(body) != "done" {
+			t.Errorf("body %q", body)
+		}
+	})
+}
