relay, oper: early hints, shed answers that keep their connection, a test over net/rpc

Cause: an informational answer before the final one made the length check drop a whole answer; a shed answer with a body cost a connection; the wire form of the peer calls was not tested. Change: the ledger notes informational answers; short shed bodies are read; errors are annotated only when there is one.

--- a/internal/edge/oper/sim_test.go
+++ b/internal/edge/oper/sim_test.go
@@ -157,13 +157,15 @@
 		}
 	}
 	done := make(chan error, 1)
-	answer := newReply(method)
+	var deliver func()
 	go func() {
 		wld.delay(key)
 		if there || !wld.awake(peer) {
 			return
 		}
-		done <- dispatch(peer.svc, method, args, answer)
+		var err error
+		deliver, err = dispatch(peer.svc, args, reply)
+		done <- err
 	}()
 	if wld.chance(key+"cut", 10) {
 		return errLost
@@ -175,39 +177,23 @@
 			return ctx.Err()
 		}
 		wld.delay(key)
-		copyReply(reply, answer)
+		deliver()
 		return err
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
-func newReply(method string) any {
-	if method == "Oper.Handover" {
-		return new(oper.HandoverReply)
+// dispatch calls the method that args belong to. deliver copies its reply.
+func dispatch(svc *oper.Service, args, reply any) (deliver func(), err error) {
+	if prt, ok := args.(*oper.Part); ok {
+		rpl := new(oper.HandoverReply)
+		err = svc.Handover(prt, rpl)
+		return func() { *reply.(*oper.HandoverReply) = *rpl }, err
 	}
-	return new(oper.Reply)
-}
-
-func copyReply(dst, src any) {
-	switch dst := dst.(type) {
-	case *oper.HandoverReply:
-		*dst = *src.(*oper.HandoverReply)
-	case *oper.Reply:
-		*dst = *src.(*oper.Reply)
-	}
-}
-
-func dispatch(svc *oper.Service, method string, args, reply any) error {
-	switch args := args.(type) {
-	case *oper.ForwardArgs:
-		return svc.Forward(args, reply.(*oper.Reply))
-	case *oper.Part:
-		return svc.Handover(args, reply.(*oper.HandoverReply))
-	case *oper.QueryArgs:
-		return svc.Query(args, reply.(*oper.Reply))
-	}
-	return fmt.Errorf("method %s", method)
+	rpl := new(oper.Reply)
+	err = svc.Forward(args.(*oper.ForwardArgs), rpl)
+	return func() { *reply.(*oper.Reply) = *rpl }, err
 }
 
 // start begins a run of VM idx.
--- a/internal/edge/oper/table_test.go
+++ b/internal/edge/oper/table_test.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
+	"net/rpc"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -103,6 +105,11 @@
 		{name: "not run, sent again", before: finish(oper.StateNotRun), attempt: 2, want: "run"},
 		{name: "not run, late copy", before: finish(oper.StateNotRun), attempt: 1, want: "not-run"},
 		{name: "not run, not counted", before: finish(oper.StateNotRun), want: "not-run"},
+		{name: "not run, late copy of a waiting sending", before: func(tab *oper.Table, man *manual, opn oper.Operation) {
+			begin(tab, opn, oper.Hash{}, 1)
+			begin(tab, opn, oper.Hash{}, 3)
+			tab.Finish(opn, oper.Outcome{State: oper.StateNotRun})
+		}, attempt: 2, want: "not-run"},
 		{name: "no room, first sending", before: func(tab *oper.Table, man *manual, _ oper.Operation) {
 			begin(tab, operation(man, "x", 0), oper.Hash{}, 1)
 			begin(tab, operation(man, "y", 0), oper.Hash{}, 1)
@@ -231,3 +238,68 @@
 		}
 	})
 }
+
+// rpcCaller is a PeerCaller over net/rpc.
+type rpcCaller struct{ clt *rpc.Client }
+
+func (cal rpcCaller) Call(_ context.Context, _, method string, args, reply any) error {
+	return cal.clt.Call(method, args, reply)
+}
+
+// Guards against methods that net/rpc does not find, and against an outcome that changes on the way between two VMs.
+func TestForwardOverRPC(t *testing.T) {
+	near, far := net.Pipe()
+	srv, clt := rpc.NewServer(), rpc.NewClient(near)
+	defer clt.Close()
+	services := map[cardamompass.VMID]*oper.Service{}
+	for _, self := range []cardamompass.VM{homeVM, nextVM} {
+		tab, man := newTable(t, self, 10)
+		svc, cleanup, err := oper.New(oper.Config{
+			Table: tab,
+			Membership: link{
+				wld: &world{
+					members: []cardamompass.Member{{VM: homeVM}, {VM: nextVM}},
+				},
+			},
+			Peers: rpcCaller{clt: clt},
+			Clock: man,
+			Execute: func(_ context.Context, req cardamompass.Request) (ans cardamompass.Answer, err error) {
+				if req.ID == "shed" {
+					return ans, &cardamompass.NotRunError{Reason: "shed"}
+				}
+				return cardamompass.Answer{Status: 201, Body: io.NopCloser(bytes.NewReader(req.Body))}, nil
+			},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer cleanup()
+		services[self.ID] = svc
+	}
+	if err := srv.RegisterName("Oper", services[homeVM.ID]); err != nil {
+		t.Fatal(err)
+	}
+	go srv.ServeConn(far)
+	req := cardamompass.Request{
+		ID:     "op",
+		Ticket: oper.Issue(homeVM, time.Unix(1_700_000_000, 0)).String(),
+		Body:   []byte("whole"),
+	}
+	ans, err := services[nextVM.ID].Run(t.Context(), req, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, _ := io.ReadAll(ans.Body); string(body) != "whole" || ans.Status != 201 {
+		t.Errorf("answer %+v, body %q", ans, body)
+	}
+	req.ID = "shed"
+	var nre *cardamompass.NotRunError
+	if _, err = services[nextVM.ID].Run(t.Context(), req, nil); !errors.As(err, &nre) {
+		t.Errorf("error %v, want not-run", err)
+	}
+	req.ID, req.Body = "op", nil
+	var ive *cardamompass.InvalidError
+	if _, err = services[nextVM.ID].Run(t.Context(), req, nil); !errors.As(err, &ive) {
+		t.Errorf("error %v, want invalid", err)
+	}
+}
--- a/internal/edge/relay/answer.go
+++ b/internal/edge/relay/answer.go
@@ -11,6 +11,10 @@
 	"cardamompass"
 )
 
+// maxShedBytes bounds the body of a shed answer that is read to keep the connection. A target that sheds is busy, and
+// new connections would add to its load.
+const maxShedBytes = 4 << 10
+
 // check verifies the header of an answer. On error it has given up the answer.
 func (rly *Relay) check(atm Attempt, rsp *http.Response, lgr *ledger) (err error) {
 	if rsp.Header.Get(cardamompass.HeaderState) == "draining" {
@@ -33,6 +37,9 @@
 		return lgr.bad(atm.Target.ID, "its length is not declared, so that a cut can't be told from its end")
 	case rsp.StatusCode == http.StatusServiceUnavailable && rsp.Header.Get(cardamompass.HeaderShed) == "true":
 		lgr.seal()
+		if rsp.ContentLength <= maxShedBytes {
+			io.Copy(io.Discard, rsp.Body) //nolint:errcheck // only keeps the connection for reuse
+		}
 		return &cardamompass.NotRunError{
 			Reason: "the target shed the request",
 			Target: atm.Target.ID,
--- a/internal/edge/relay/conn.go
+++ b/internal/edge/relay/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -28,6 +29,7 @@
 
 	header   scanner
 	received int64
+	interim  bool // informational answers came first, so that the length of the header is not known
 }
 
 func newLedger() *ledger { return &ledger{} }
@@ -40,6 +42,12 @@
 				con.bind(lgr)
 			}
 		},
+		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+			lgr.mu.Lock()
+			defer lgr.mu.Unlock()
+			lgr.interim = true
+			return nil
+		},
 	}
 }
 
@@ -112,7 +120,7 @@
 func (lgr *ledger) surplus(bodyBytes int64) bool {
 	lgr.mu.Lock()
 	defer lgr.mu.Unlock()
-	return lgr.header.done && lgr.received > lgr.header.bytes+bodyBytes
+	return lgr.header.done && !lgr.interim && lgr.received > lgr.header.bytes+bodyBytes
 }
 
 // drop closes the attempt's connection, so that nothing that follows on it can be taken for another answer.
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -133,7 +133,11 @@
 //
 // Errors: NotRunError, UnknownOutcomeError, and InvalidError for an attempt that can't be sent as it is.
 func (rly *Relay) Do(ctx context.Context, atm Attempt) (ans cardamompass.Answer, err error) {
-	defer func() { err = errors.Wrapf(err, "attempt %s to target %s", atm.AttemptID, atm.Target.ID) }()
+	defer func() {
+		if err != nil { // the arguments are allocated only then
+			err = errors.Wrapf(err, "attempt %s to target %s", atm.AttemptID, atm.Target.ID)
+		}
+	}()
 	ctx, cancel, left, err := rly.withDeadline(ctx, atm.Request.Deadline)
 	if err != nil {
 		return ans, err
@@ -187,11 +191,10 @@
 		return nil, nil, err
 	}
 	lgr = newLedger()
-	req, err := httpRequest(ctx, atm, hdr)
+	req, err := httpRequest(httptrace.WithClientTrace(ctx, lgr.trace()), atm, hdr)
 	if err != nil {
 		return nil, nil, err
 	}
-	req = req.WithContext(httptrace.WithClientTrace(ctx, lgr.trace()))
 	rsp, err = pol.transport.RoundTrip(req)
 	if err != nil {
 		return nil, nil, lgr.failure(ctx, atm.Target.ID, err)
--- a/internal/edge/relay/relay_test.go
+++ b/internal/edge/relay/relay_test.go
@@ -181,16 +181,21 @@
 // Guards against a whole answer being refused, or reaching the caller changed.
 func TestWholeAnswers(t *testing.T) {
 	tests := []struct {
-		name string
-		rest string
+		name  string
+		first string
+		rest  string
 	}{
 		{name: "declared length", rest: whole},
 		{name: "chunked", rest: "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n"},
+		{name: "early hints first", first: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", rest: whole},
 		{name: "hop-by-hop headers", rest: "Connection: X-Hop, keep-alive\r\nX-Hop: 1\r\nKeep-Alive: timeout=5\r\n" + whole},
 	}
 	for _, tst := range tests {
 		t.Run(tst.name, func(t *testing.T) {
-			tgt, _ := rawTarget(t, func(con *net.TCPConn, id string) bool { return say(con, id, "X-End: 1\r\n"+tst.rest) })
+			tgt, _ := rawTarget(t, func(con *net.TCPConn, id string) bool {
+				io.WriteString(con, tst.first)
+				return say(con, id, "X-End: 1\r\n"+tst.rest)
+			})
 			rly := newRelay(t, relay.Config{})
 			for idx := range 3 {
 				ans, err := rly.Do(t.Context(), attempt(tgt, fmt.Sprint("a-", idx)))
