entry: serve look-ups and requests end to end

Cause: the parts existed but no process used them together. Metrics use a registry of their own, because tally's default one panics when two are made in a process. Listening addresses may have port 0.

--- /dev/null
+++ b/cmd/cardamompass/serve.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"cardamompass"
+	"cardamompass/internal/conf/config"
+	"cardamompass/internal/edge/entry"
+	"cardamompass/internal/obs/logkv"
+	"cardamompass/internal/plat/vmlist"
+)
+
+// bootFile holds an id that is new with each start of the operating system.
+const bootFile = "/proc/sys/kernel/random/boot_id"
+
+// ServeCmd runs an entry VM.
+type ServeCmd struct {
+	Settings    string        `help:"Settings file, JSON with comments." required:"" type:"path"`
+	StopTimeout time.Duration `help:"Time allowed for a planned stop (SIGINT or SIGTERM)." default:"2m"`
+}
+
+// Run serves until a signal asks for a planned stop, and returns when that is done.
+func (cmd *ServeCmd) Run(ctx context.Context, env Env) (err error) {
+	set, err := config.Load(cmd.Settings)
+	if err != nil {
+		return err
+	}
+	log, flush, err := logkv.New(logkv.Config{
+		Writer:  env.Out,
+		Level:   set.LogLevel.String(),
+		Process: string(set.VMID),
+	})
+	if err != nil {
+		return err
+	}
+	defer flush()
+	prc, cleanup, err := newProcess(set, env, log.Logger)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	select {
+	case <-ctx.Done():
+		sctx, cancel := context.WithTimeout(context.Background(), cmd.StopTimeout)
+		defer cancel()
+		return prc.Stop(sctx)
+	case <-prc.Superseded():
+		return errors.New("a later process of the same VM runs")
+	}
+}
+
+func newProcess(set config.Settings, env Env, log *zap.Logger) (prc *entry.Process, cleanup func(), err error) {
+	sto, stopStore, err := env.NewStore(set.StoreAddress)
+	if err != nil {
+		return nil, nil, err
+	}
+	cleanups := []func(){stopStore}
+	cleanup = func() {
+		for num := len(cleanups) - 1; num >= 0; num-- {
+			cleanups[num]()
+		}
+	}
+	cfg := entry.Config{
+		Settings: set,
+		Store:    sto,
+		Clock:    cardamompass.SystemClock{},
+		Log:      log,
+		Boot:     bootID(),
+	}
+	if set.VMListAddress != "" {
+		lst, stopList, err := vmlist.New(vmlist.Config{
+			Address: set.VMListAddress,
+		})
+		if err != nil {
+			cleanup()
+			return nil, nil, err
+		}
+		cleanups = append(cleanups, stopList)
+		cfg.VMs = lst
+	}
+	prc, stop, err := entry.New(cfg)
+	if err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	cleanups = append(cleanups, stop)
+	return prc, cleanup, nil
+}
+
+// bootID returns the id of the run of the operating system, empty where there is none.
+func bootID() string {
+	data, err := os.ReadFile(bootFile)
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(data))
+}
--- a/internal/conf/config/read.go
+++ b/internal/conf/config/read.go
@@ -4,6 +4,7 @@
 	"math"
 	"net/netip"
 	"regexp"
+	"strings"
 	"time"
 
 	"go.uber.org/zap/zapcore"
@@ -101,7 +102,8 @@
 	return def
 }
 
-// address reads host:port by IP number. An unspecified IP number such as 0.0.0.0 is for listening only.
+// address reads host:port by IP number. An unspecified IP number such as 0.0.0.0 is for listening only, and so is port 0,
+// which takes any free port.
 func address(nod jsonc.Node, listen bool) string {
 	txt, ok := nod.Text()
 	if !ok {
@@ -111,7 +113,7 @@
 	switch {
 	case err != nil:
 		nod.Fail(`%q is not an address; use an IP number and a port, such as "10.0.0.1:7001"`, txt)
-	case adr.Port() == 0:
+	case adr.Port() == 0 && !listen:
 		nod.Fail("%q has port 0; use a port from 1 to 65535", txt)
 	case adr.Addr().IsUnspecified() && !listen:
 		nod.Fail("%q is not an address that others can reach; use the IP number of the machine", txt)
@@ -324,7 +326,7 @@
 		{name: "peer-address", adr: set.PeerAddress},
 		{name: "operator-address", adr: set.OperatorAddress},
 	} {
-		if one.adr == "" {
+		if one.adr == "" || strings.HasSuffix(one.adr, ":0") {
 			continue
 		}
 		if oth, ok := seen[one.adr]; ok {
--- /dev/null
+++ b/internal/edge/engine/engine.go
@@ -0,0 +1,306 @@
+// Package engine runs requests on targets: it joins the decisions of the steer packages, this VM's shares of the caps and
+// the relay.
+//
+// A request waits in its service's queue until a claim succeeds: a target chosen by route.Decide, a slot of the
+// region's share, units of the shift when it crosses regions, and the guard's admission. Failed attempts are repeated on
+// other targets within the retry budget, non-idempotent ones only when they certainly did not run. Late attempts of short
+// idempotent requests are hedged within the hedge budget.
+//
+// An error is a NotRunError only if no attempt can have run, else an UnknownOutcomeError; or an InvalidError.
+package engine
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"cardamompass"
+	"cardamompass/internal/conf/catlg"
+	"cardamompass/internal/edge/dump"
+	"cardamompass/internal/edge/relay"
+	"cardamompass/internal/fleet/share"
+	"cardamompass/internal/obs/metric"
+	"cardamompass/internal/steer/budget"
+	"cardamompass/internal/steer/guard"
+	"cardamompass/internal/steer/health"
+	"cardamompass/internal/steer/queue"
+	"cardamompass/internal/steer/route"
+)
+
+// retryQueueInterval is the time between two tries of all queues for what no release announces: loans that arrive, units of
+// links, ramps that grow.
+const retryQueueInterval = 5 * time.Millisecond
+
+// defaultQueueLength bounds the queue of a service that states no bound.
+const defaultQueueLength = 256
+
+// Config configures an Engine.
+type Config struct {
+	Self    cardamompass.VM
+	Clock   cardamompass.Clock
+	Log     *zap.Logger
+	Scope   tally.Scope
+	Relay   *relay.Relay
+	Tracker *health.Tracker
+	Guard   *guard.Guard
+	Pool    *share.Pool
+	// Report tells all other entry VMs what the guard found, and returns when they have answered or its own timeout ends.
+	Report func(ctx context.Context, rep guard.Report)
+	// Recent keeps the decisions for the state dump.
+	Recent *dump.Recent
+	// HedgePercent and RetryPercent are the budgets in percent of requests.
+	HedgePercent int
+	RetryPercent int
+	// QueueLength bounds the queue of a service for which the catalogue states no bound; 0 means 256.
+	QueueLength int
+	// Members lists the entry VMs, for the choice of the targets that this VM uses. Optional.
+	Members cardamompass.Membership
+	// Naive replaces the steering by its baseline, round robin without shares, hedges or guard, for measurements.
+	Naive bool
+}
+
+// Engine runs requests. It is safe for concurrent use.
+type Engine struct {
+	cfg      Config
+	mtx      sync.Mutex // serializes SetCatalogue
+	plan     atomic.Pointer[plan]
+	attempts atomic.Uint64
+	wtg      sync.WaitGroup
+	naive    naiveState
+}
+
+// plan is what follows from the catalogue in force.
+type plan struct {
+	cat      *catlg.Catalogue
+	services map[cardamompass.ServiceName]*service
+}
+
+// service is the state of one service. It outlives changes of the catalogue.
+type service struct {
+	svc     cardamompass.Service
+	queue   *queue.Queue
+	stop    func()
+	retry   *budget.Budget
+	hedge   *budget.Budget
+	shifts  *shiftTimes
+	latency tally.Histogram
+	scope   tally.Scope
+	spares  *sync.Pool // of *scratch
+}
+
+// scratch is memory that decisions reuse.
+type scratch struct {
+	snp route.Snapshot
+	dec route.Decision
+}
+
+// New returns an Engine without catalogue: it refuses all requests as not run. The cleanup waits for attempts under way.
+func New(cfg Config) (eng *Engine, cleanup func()) {
+	if cfg.QueueLength == 0 {
+		cfg.QueueLength = defaultQueueLength
+	}
+	eng = &Engine{
+		cfg: cfg,
+	}
+	eng.plan.Store(&plan{})
+	ctx, cancel := context.WithCancel(context.Background())
+	eng.wtg.Go(func() { eng.retryQueues(ctx) })
+	return eng, func() {
+		cancel()
+		for _, sta := range eng.plan.Load().services {
+			sta.stop()
+		}
+		eng.wtg.Wait()
+	}
+}
+
+// SetCatalogue puts a catalogue in force: its targets, its caps and its services. Requests under way go on.
+func (eng *Engine) SetCatalogue(cat *catlg.Catalogue) {
+	eng.mtx.Lock()
+	defer eng.mtx.Unlock()
+	old := eng.plan.Load().services
+	next := &plan{
+		cat:      cat,
+		services: make(map[cardamompass.ServiceName]*service),
+	}
+	for _, svc := range cat.Services() {
+		next.services[svc.Name] = eng.service(old[svc.Name], svc)
+	}
+	eng.cfg.Tracker.SetTargets(cat.Targets(), eng.cfg.Clock.Now())
+	eng.cfg.Pool.SetResources(Resources(cat), int64(cat.Version()))
+	eng.plan.Store(next)
+	for name, sta := range old {
+		if next.services[name] == nil {
+			sta.stop()
+		}
+	}
+}
+
+func (eng *Engine) service(old *service, svc cardamompass.Service) *service {
+	if old != nil {
+		kept := *old
+		kept.svc = svc
+		return &kept
+	}
+	length := svc.QueueLength
+	if length == 0 {
+		length = eng.cfg.QueueLength
+	}
+	que, stop := queue.New(queue.Config{
+		Length: length,
+		Clock:  eng.cfg.Clock,
+	})
+	now := eng.cfg.Clock.Now()
+	retry, hedge := budget.RetryConfig(), budget.HedgeConfig()
+	retry.Percent, hedge.Percent = eng.cfg.RetryPercent, eng.cfg.HedgePercent
+	scope := eng.cfg.Scope.Tagged(map[string]string{
+		"service": string(svc.Name),
+		"class":   string(svc.Class),
+	})
+	return &service{
+		svc:     svc,
+		queue:   que,
+		stop:    stop,
+		retry:   budget.New(retry, now),
+		hedge:   budget.New(hedge, now),
+		shifts:  newShiftTimes(),
+		latency: scope.Histogram("request-latency", metric.LatencyBuckets()),
+		scope:   scope,
+		spares:  &sync.Pool{New: func() any { return &scratch{} }},
+	}
+}
+
+// Resources returns the caps of a catalogue as resources to be divided.
+func Resources(cat *catlg.Catalogue) (list []share.Resource) {
+	const bytesPerKbit = 1000 / 8
+	for _, lnk := range cat.Links() {
+		list = append(list, share.Resource{
+			Name:        share.LinkName(lnk.From, lnk.To),
+			Kind:        share.KindRate,
+			Capacity:    lnk.KbitPerSecond * bytesPerKbit,
+			LongPercent: lnk.LongPercent,
+		})
+	}
+	for _, sft := range cat.Shifts() {
+		list = append(list, share.Resource{
+			Name:     share.ShiftName(sft.Service, sft.From, sft.To),
+			Kind:     share.KindRate,
+			Capacity: sft.RequestsPerSecond,
+		})
+	}
+	for _, svc := range cat.Services() {
+		for _, reg := range cat.Regions() {
+			slots := 0
+			for _, tgt := range cat.TargetsOf(svc.Name, reg.Name) {
+				slots += tgt.Slots
+			}
+			if slots > 0 {
+				list = append(list, share.Resource{
+					Name:     share.SlotsName(svc.Name, reg.Name),
+					Kind:     share.KindSlots,
+					Capacity: int64(slots),
+					Linger:   svc.MaxTimeout,
+				})
+			}
+		}
+	}
+	return list
+}
+
+// Service returns a service of the catalogue in force.
+func (eng *Engine) Service(name cardamompass.ServiceName) (svc cardamompass.Service, err error) {
+	pln := eng.plan.Load()
+	if pln.cat == nil {
+		return svc, &cardamompass.NotRunError{
+			Reason: "no catalogue yet",
+		}
+	}
+	sta, ok := pln.services[name]
+	if !ok {
+		return svc, &cardamompass.InvalidError{
+			Field:  "service",
+			Reason: "is not in the catalogue: " + string(name),
+		}
+	}
+	return sta.svc, nil
+}
+
+// Waiting returns the number of requests that wait in each queue.
+func (eng *Engine) Waiting() (waiting map[cardamompass.ServiceName]int) {
+	waiting = make(map[cardamompass.ServiceName]int)
+	for name, sta := range eng.plan.Load().services {
+		waiting[name] = sta.queue.Len()
+	}
+	return waiting
+}
+
+func (eng *Engine) retryQueues(ctx context.Context) {
+	for {
+		tmr := eng.cfg.Clock.NewTimer(retryQueueInterval)
+		select {
+		case <-ctx.Done():
+			tmr.Stop()
+			return
+		case <-tmr.C():
+		}
+		for _, sta := range eng.plan.Load().services {
+			if sta.queue.Len() > 0 {
+				sta.queue.ReleasedAll()
+			}
+		}
+	}
+}
+
+// near returns the regions that may serve callers of reg, in order of preference, reg itself left out.
+func (pln *plan) near(reg cardamompass.Region) []cardamompass.Region {
+	inf, _ := pln.cat.Region(reg)
+	return inf.Near
+}
+
+// shiftTimes remembers since when a service's requests shift to a region without a longer pause.
+type shiftTimes struct {
+	mtx  sync.Mutex
+	runs map[cardamompass.Region]shiftRun
+}
+
+type shiftRun struct {
+	since time.Time
+	last  time.Time
+}
+
+// shiftPause is the time after which a region that got no shifted request counts as cold again.
+const shiftPause = time.Minute
+
+func newShiftTimes() *shiftTimes {
+	return &shiftTimes{
+		runs: make(map[cardamompass.Region]shiftRun),
+	}
+}
+
+// wanted records that a request would shift to reg now and returns since when such requests come. The ramp starts with the
+// first wish, because a quarter of a small share may not admit any request at first.
+func (sht *shiftTimes) wanted(reg cardamompass.Region, now time.Time) (since time.Time) {
+	sht.mtx.Lock()
+	defer sht.mtx.Unlock()
+	run, ok := sht.runs[reg]
+	if !ok || now.Sub(run.last) > shiftPause {
+		run.since = now
+	}
+	run.last = now
+	sht.runs[reg] = run
+	return run.since
+}
+
+// target returns a target of the catalogue in force.
+func (pln *plan) target(tid cardamompass.TargetID) (tgt cardamompass.Target, ok bool) {
+	return pln.cat.Target(tid)
+}
+
+func excludes(list []cardamompass.TargetID, tid cardamompass.TargetID) bool {
+	return slices.Contains(list, tid)
+}
--- a/internal/fleet/share/cell.go
+++ b/internal/fleet/share/cell.go
@@ -116,17 +116,22 @@
 // trySlot takes one slot.
 func (cel *cell) trySlot(now, leaseEnds time.Time) bool {
 	if cel.inUse >= cel.usable(now, leaseEnds) {
-		if !cel.short(now) {
-			cel.missed = 0
-		}
-		cel.missed++
-		cel.shortAt = now
+		cel.lack(now)
 		return false
 	}
 	cel.inUse++
 	return true
 }
 
+// lack records that a slot was wanted and not to be had.
+func (cel *cell) lack(now time.Time) {
+	if !cel.short(now) {
+		cel.missed = 0
+	}
+	cel.missed++
+	cel.shortAt = now
+}
+
 // buckets are the token buckets of a rate: one for all work and one for work of the long class. They start empty, so
 // that units which move between VMs don't bring a second burst with them.
 type buckets struct {
--- a/internal/fleet/share/use.go
+++ b/internal/fleet/share/use.go
@@ -106,6 +106,17 @@
 	slt.cel.inUse--
 }
 
+// Need records that a slot was wanted while there was none, so that the VM borrows.
+func (slt *Slots) Need() {
+	if slt == nil {
+		return
+	}
+	now := slt.pol.cfg.Clock.Now()
+	slt.cel.mtx.Lock()
+	defer slt.cel.mtx.Unlock()
+	slt.cel.lack(now)
+}
+
 // Room returns the number of slots that could be taken now and the number that may be in use altogether.
 func (slt *Slots) Room() (free, usable int64) {
 	if slt == nil {
--- a/internal/obs/metric/metric.go
+++ b/internal/obs/metric/metric.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -26,15 +26,15 @@
 }
 
 // New returns the metrics of a process and the function that stops their reporting.
-func New(cfg Config) (mtr *Metrics, cleanup func(), err error) {
-	defer func() { err = errors.Wrap(err, "make metrics") }()
-	rep, err := prometheus.Configuration{
-		OnError:   "none",
-		TimerType: "histogram",
-	}.NewReporter(prometheus.ConfigurationOptions{})
-	if err != nil {
-		return nil, nil, err
-	}
+func New(cfg Config) (mtr *Metrics, cleanup func()) {
+	reg := client.NewRegistry()
+	rep := prometheus.NewReporter(prometheus.Options{
+		Registerer:       reg,
+		Gatherer:         reg,
+		DefaultTimerType: prometheus.HistogramTimerType,
+		// A metric that can't be registered is left out of the page; it must not end the process.
+		OnRegisterError: func(error) {},
+	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "cardamompass",
 		Tags:           cfg.Tags,
@@ -45,7 +45,7 @@
 		scope: scope,
 		page:  rep.HTTPHandler(),
 	}
-	return mtr, func() { _ = closer.Close() }, nil
+	return mtr, func() { _ = closer.Close() }
 }
 
 // Scope returns the root scope.
