engine: keep connections to a subset of the targets

Cause: each entry VM kept up to 64 connections to every target; seven VMs exceed the 330 connections of a target, and 430 VMs would exceed it many times. Change: the connections of each target are divided among the live entry VMs with route.Subset, anew when members change; only the targets of the subset are probed and used.

--- a/internal/edge/engine/engine.go
+++ b/internal/edge/engine/engine.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -58,7 +59,7 @@
 	RetryPercent int
 	// QueueLength bounds the queue of a service for which the catalogue states no bound; 0 means 256.
 	QueueLength int
-	// Members lists the entry VMs, for the choice of the targets that this VM uses. Optional.
+	// Members lists the entry VMs, among which the connections of targets are divided.
 	Members cardamompass.Membership
 	// Naive replaces the steering by its baseline, round robin without shares, hedges or guard, for measurements.
 	Naive bool
@@ -78,6 +79,8 @@
 type plan struct {
 	cat      *catlg.Catalogue
 	services map[cardamompass.ServiceName]*service
+	// targets are those that this VM uses, each with the number of connections that this VM may keep to it.
+	targets map[cardamompass.TargetID]cardamompass.Target
 }
 
 // service is the state of one service. It outlives changes of the catalogue.
@@ -131,7 +134,8 @@
 	for _, svc := range cat.Services() {
 		next.services[svc.Name] = eng.service(old[svc.Name], svc)
 	}
-	eng.cfg.Tracker.SetTargets(cat.Targets(), eng.cfg.Clock.Now())
+	next.targets = eng.subset(cat)
+	eng.cfg.Tracker.SetTargets(next.list(), eng.cfg.Clock.Now())
 	eng.cfg.Pool.SetResources(Resources(cat), int64(cat.Version()))
 	eng.plan.Store(next)
 	for name, sta := range old {
@@ -141,6 +145,60 @@
 	}
 }
 
+// MembersChanged divides the connections of the targets anew, after entry VMs came or went.
+func (eng *Engine) MembersChanged() {
+	eng.mtx.Lock()
+	defer eng.mtx.Unlock()
+	old := eng.plan.Load()
+	if old.cat == nil {
+		return
+	}
+	targets := eng.subset(old.cat)
+	if maps.Equal(targets, old.targets) {
+		return
+	}
+	next := &plan{
+		cat:      old.cat,
+		services: old.services,
+		targets:  targets,
+	}
+	eng.cfg.Tracker.SetTargets(next.list(), eng.cfg.Clock.Now())
+	eng.plan.Store(next)
+}
+
+// Targets returns the targets that this VM uses.
+func (eng *Engine) Targets() []cardamompass.Target { return eng.plan.Load().list() }
+
+// subset returns the targets that this VM uses. While a target's connections suffice for all entry VMs that is every target;
+// in a larger fleet each VM gets a part of them.
+func (eng *Engine) subset(cat *catlg.Catalogue) (targets map[cardamompass.TargetID]cardamompass.Target) {
+	targets = make(map[cardamompass.TargetID]cardamompass.Target)
+	vms := []cardamompass.VMID{eng.cfg.Self.ID}
+	for _, mbr := range eng.cfg.Members.Members() {
+		if mbr.Serving() && mbr.VM.ID != eng.cfg.Self.ID {
+			vms = append(vms, mbr.VM.ID)
+		}
+	}
+	for _, svc := range cat.Services() {
+		for _, reg := range cat.Regions() {
+			list := cat.TargetsOf(svc.Name, reg.Name)
+			if len(list) == 0 {
+				continue
+			}
+			for _, con := range route.Subset(route.SubsetConfig{
+				Self:    eng.cfg.Self.ID,
+				VMs:     vms,
+				Targets: list,
+			}) {
+				tgt, _ := cat.Target(con.Target)
+				tgt.Connections = con.Count
+				targets[tgt.ID] = tgt
+			}
+		}
+	}
+	return targets
+}
+
 func (eng *Engine) service(old *service, svc cardamompass.Service) *service {
 	if old != nil {
 		kept := *old
@@ -296,9 +354,18 @@
 	return run.since
 }
 
-// target returns a target of the catalogue in force.
+// target returns a target that this VM uses.
 func (pln *plan) target(tid cardamompass.TargetID) (tgt cardamompass.Target, ok bool) {
-	return pln.cat.Target(tid)
+	tgt, ok = pln.targets[tid]
+	return tgt, ok
+}
+
+// list returns the targets in use in the order of their ids.
+func (pln *plan) list() (list []cardamompass.Target) {
+	for _, tid := range slices.Sorted(maps.Keys(pln.targets)) {
+		list = append(list, pln.targets[tid])
+	}
+	return list
 }
 
 func excludes(list []cardamompass.TargetID, tid cardamompass.TargetID) bool {
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -288,6 +288,7 @@
 		Pool:         prc.pool,
 		Report:       prc.reportSuspects,
 		Recent:       prc.recent,
+		Members:      prc.members,
 		HedgePercent: set.Steering.HedgePercent,
 		RetryPercent: set.Steering.RetryPercent,
 		QueueLength:  set.Steering.QueueLength,
--- a/internal/edge/entry/follow.go
+++ b/internal/edge/entry/follow.go
@@ -71,6 +71,8 @@
 			prc.putInForce()
 		case <-members:
 			prc.refreshLookups()
+			prc.engine.MembersChanged()
+			prc.prober.SetTargets(prc.engine.Targets())
 		}
 	}
 }
@@ -91,7 +93,7 @@
 		blocks = old.blocks
 	}
 	prc.engine.SetCatalogue(cat)
-	prc.prober.SetTargets(cat.Targets())
+	prc.prober.SetTargets(prc.engine.Targets())
 	prc.inForce.Store(&inForce{
 		cat:    cat,
 		since:  prc.cfg.Clock.Now(),
