catlg: replayable race of editors, printable names, no tombstone of a missing entry

Cause: the race depended on the goroutine scheduler, so a seed did not repeat it; rolling back to a tombstone of an entry that the store lacks wrote an entry without a name; owners could hold control characters; catalogue watch ended at the first failure of the store. Change: the race picks among callers sorted by editor; such a rollback changes nothing; owner and editor are 1 to 128 printable characters; watch shows the failure and goes on; the test of a lost write is bounded in calls.

--- a/cmd/cardamompass/edits.go
+++ b/cmd/cardamompass/edits.go
@@ -128,7 +128,7 @@
 }
 
 // Run shows the changes of each new document until ctx ends or Count documents were shown. Edits that follow each
-// other quickly may be shown together.
+// other quickly may be shown together. A failure of the store is shown, and watching goes on.
 func (cmd *CatalogueWatchCmd) Run(ctx context.Context, env Env) (err error) {
 	edt, str, cleanup, err := cmd.open(env, "")
 	if err != nil {
@@ -148,9 +148,10 @@
 			return nil
 		}
 		if err != nil {
-			return err
+			_, _ = fmt.Fprintln(env.Err, err)
+			_ = waitShort(ctx) // a cancelled ctx ends the loop at the next call
 		}
-		if nxt == nil {
+		if err != nil || nxt == nil {
 			continue
 		}
 		if _, err = fmt.Fprintf(env.Out, "version=%d entries=%d\n", nxt.Version(), nxt.Len()); err != nil {
@@ -181,7 +182,7 @@
 	return doc, val.Revision, err
 }
 
-// waitShort keeps a watch of a key that does not exist from calling the store without a pause.
+// waitShort keeps a watch that fails at once from calling the store without a pause.
 func waitShort(ctx context.Context) (err error) {
 	tmr := time.NewTimer(time.Second)
 	defer tmr.Stop()
--- a/internal/conf/catlg/document_test.go
+++ b/internal/conf/catlg/document_test.go
@@ -140,7 +140,7 @@
 "target/v":{"owner":"o","spec":{"service":"s","region":"a","failure-domain":"x","address":"127.0.0.1:1","slots":1,"connections":1}},
 "link/a/a":{"owner":"o","spec":{"kbit-per-second":0,"long-percent":100}},
 "shift/s/a/d":{"owner":"o","spec":{"requests-per-second":0}},
-"region/d":{"owner":"o","deleted":true},
+"region/d":{"owner":"o\u001b[2J","deleted":true},
 "clients/m":{"owner":"o","spec":{"region":"a","prefixes":["10.0.0.0/8","10.1.0.0/16"]}},
 "clients/n":{"owner":"o","spec":{"region":"b","prefixes":["10.1.0.0/16","10.1.2.3/8"]}}`)))
 	if err != nil {
@@ -150,8 +150,9 @@
 		"clients/n prefixes: 10.1.0.0/16 is also in clients/m",
 		"clients/n prefixes: 10.1.2.3/8 has bits after", "clients/n prefixes: 10.0.0.0/8 is also in clients/m",
 		"link/a/a to: both regions", "link/a/a kbit-per-second: 0 is out", "link/a/a long-percent: 100 is out",
-		"region/a owner: is empty", "region/a failure-domains: \"x\"", "region/a near: a region is not near itself", "region/a near: region \"q\" is not",
+		"region/a owner: name the person", "region/a failure-domains: \"x\"", "region/a near: a region is not near itself", "region/a near: region \"q\" is not",
 		"region/b version: 10 exceeds", "region/b failure-domains: is empty",
+		"region/d owner: name the person",
 		"service/s class: \"medium\"", "service/s max-timeout-ms: 240001 is out", "service/s max-body-bytes: 99999999999 is out",
 		"shift/s/a/d to: region \"d\" is not",
 		"target/t service: service \"u\" is not", "target/t failure-domain: \"y\" is not", "target/t connections: 2 connections", "target/t address: \"localhost:1\"",
@@ -172,8 +173,8 @@
 // Guards against a document that the store would refuse after it was accepted here.
 func TestValidateSize(t *testing.T) {
 	doc := catlg.Empty()
-	for idx := range 1100 {
-		doc = doc.WithEntry(shiftEntry(t, "s", strings.Repeat("o", 1000), idx))
+	for idx := range 6000 {
+		doc = doc.WithEntry(shiftEntry(t, "s", strings.Repeat("o", 128), idx))
 	}
 	if err := catlg.Validate(doc); err == nil || !strings.Contains(err.Error(), "the store takes at most 1048576") {
 		t.Fatalf("error is %.200v", err)
--- a/internal/conf/catlg/editor.go
+++ b/internal/conf/catlg/editor.go
@@ -137,10 +137,10 @@
 var editIDPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
 
 func (edt *Editor) put(ctx context.Context, id string, base uint64, chgs []Change) (acc Accepted, err error) {
-	if edt.cfg.Who == "" {
+	if !printable(edt.cfg.Who) {
 		return Accepted{}, &cardamompass.InvalidError{
 			Field:  "edited-by",
-			Reason: "is empty; name the person who makes the edit",
+			Reason: "name the person who makes the edit, in 1 to 128 printable characters",
 		}
 	}
 	bof := backoff.NewExponentialBackOff()
--- a/internal/conf/catlg/editor_test.go
+++ b/internal/conf/catlg/editor_test.go
@@ -234,18 +234,23 @@
 func TestPutRefusedAfterLostWrite(t *testing.T) {
 	str, base := filled(t)
 	other := marshal(t, base.WithEntry(shiftEntry(t, "c", "ben", 1)))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
 	puts := 0
 	str.before = func(_ context.Context, put bool) fault {
 		if !put {
 			return none
 		}
-		if puts++; puts > 1 {
+		if puts++; puts > 100 {
+			cancel() // an editor in doubt would go on until its deadline
+		}
+		if puts > 1 {
 			return refused
 		}
 		str.swap(write{data: []byte(other), rev: str.cur.rev})
 		return writeLost
 	}
-	_, err := editor(str, "ana").Put(t.Context(), catlg.Edit{Base: base, Edited: base.WithEntry(shiftEntry(t, "b", "ana", 2))})
+	_, err := editor(str, "ana").Put(ctx, catlg.Edit{Base: base, Edited: base.WithEntry(shiftEntry(t, "b", "ana", 2))})
 	var unk *catlg.EditUnknownError
 	if !errors.Is(err, errDown) || errors.As(err, &unk) || puts != 2 {
 		t.Fatalf("error is %v after %d writes, want the failure of the second", err, puts)
@@ -274,8 +279,12 @@
 	if again, err := edt.Rollback(t.Context(), rbk); err != nil || again.Version != 3 || len(str.history) != 3 {
 		t.Fatalf("settling a rollback: %+v %v", again, err)
 	}
-	rbk.From = acc.Document
+	gone := catlg.Rollback{Entry: "shift/svc/a/b", From: acc.Document}
 	var inv *cardamompass.InvalidError
+	if _, err = editor(&fakeStore{}, "ana").Rollback(t.Context(), gone); !errors.As(err, &inv) {
+		t.Fatalf("error is %v, want no tombstone of an entry that never was", err)
+	}
+	rbk.From = acc.Document
 	if _, err = edt.Rollback(t.Context(), rbk); !errors.As(err, &inv) {
 		t.Fatalf("error is %v, want the id of another edit", err)
 	}
--- a/internal/conf/catlg/race_test.go
+++ b/internal/conf/catlg/race_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 
@@ -24,14 +25,15 @@
 func race(t *testing.T, rnd *rand.Rand, str *fakeStore) (all []*attempted) {
 	const editors, edits = 4, 6
 	type turn struct {
-		done bool
-		run  chan fault
-		kill context.CancelFunc
+		editor int
+		done   bool
+		run    chan fault
+		kill   context.CancelFunc
 	}
 	turns := make(chan turn)
-	type cancelKey struct{}
+	type turnKey struct{}
 	str.before = func(ctx context.Context, _ bool) fault {
-		trn := turn{run: make(chan fault), kill: ctx.Value(cancelKey{}).(context.CancelFunc)}
+		trn := ctx.Value(turnKey{}).(turn)
 		turns <- trn
 		return <-trn.run
 	}
@@ -42,8 +44,8 @@
 			defer func() { turns <- turn{done: true} }()
 			edt, base := editor(str, fmt.Sprint("editor-", idx)), catlg.Empty()
 			for num := range edits {
-				ctx, cancel := context.WithCancel(context.WithValue(context.Background(), cancelKey{}, context.CancelFunc(nil)))
-				ctx = context.WithValue(ctx, cancelKey{}, cancel)
+				ctx, cancel := context.WithCancel(context.Background())
+				ctx = context.WithValue(ctx, turnKey{}, turn{editor: idx, run: make(chan fault), kill: cancel})
 				if doc, _, err := edt.Get(ctx); err == nil && rng.IntN(4) > 0 {
 					base = doc
 				}
@@ -69,6 +71,8 @@
 		if live == 0 {
 			break
 		}
+		// The order of arrival depends on the scheduler of goroutines and must not decide.
+		slices.SortFunc(waiting, func(one, two turn) int { return one.editor - two.editor })
 		pick := rnd.IntN(len(waiting))
 		trn := waiting[pick]
 		waiting = append(waiting[:pick], waiting[pick+1:]...)
--- a/internal/conf/catlg/settle.go
+++ b/internal/conf/catlg/settle.go
@@ -176,7 +176,8 @@
 		if !ent.live() {
 			ent = now.Tombstone()
 		}
-		if !ent.SameContent(now) {
+		// An entry that is gone needs no second tombstone, whoever owned it.
+		if (ent.live() || now.live()) && !ent.SameContent(now) {
 			ents = append(ents, ent.stamped(ver, ppt.edt.cfg.Who, ppt.at))
 		}
 	}
--- a/internal/conf/catlg/validate.go
+++ b/internal/conf/catlg/validate.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
+	"unicode"
 
 	"cardamompass"
 	"cardamompass/internal/conf/jsonc"
@@ -55,6 +57,11 @@
 	}
 }
 
+// printable reports whether txt can be shown as a name. Control characters would change what a terminal shows.
+func printable(txt string) bool {
+	return txt != "" && len(txt) <= 128 && !strings.ContainsFunc(txt, func(chr rune) bool { return !unicode.IsPrint(chr) })
+}
+
 type checker struct {
 	cat       *Catalogue
 	addresses map[string]EntryName
@@ -100,8 +107,8 @@
 }
 
 func (chk *checker) entry(ent Entry) {
-	if ent.Owner == "" {
-		chk.add(ent.Name, "owner", "is empty; name the person or group that answers for the entry")
+	if !printable(ent.Owner) {
+		chk.add(ent.Name, "owner", "name the person or group that answers for the entry, in 1 to 128 printable characters")
 	}
 	if ent.Version > chk.cat.Version() {
 		chk.add(ent.Name, "version", "%d exceeds the document's version %d", ent.Version, chk.cat.Version())
