entry: never say not-run for what an earlier sending may have done

Cause: a VM without a catalogue refused every request as not run, an operation's second sending included, though the first one may have run through another VM. Change: such a refusal is unknown unless the caller declares its first sending; the successors of members that left are remembered as the membership changes; the dump shows the figures of the operation records.

--- a/cmd/cardamompass/dump.go
+++ b/cmd/cardamompass/dump.go
@@ -115,7 +115,7 @@
 		sta.VM.ID, sta.VM.Incarnation, sta.VM.Region, sta.VM.FailureDomain, sta.VM.State)
 	fmt.Fprintf(tab, "catalogue\tversion %d\tin force for %s\n", sta.Catalogue.Version, sta.Catalogue.Since)
 	fmt.Fprintf(tab, "lease\t%s\tends in %s\n", sta.Shares.LeaseID, sta.Shares.LeaseTimeLeft)
-	fmt.Fprintf(tab, "operation records\t%d\n\nmember\tstate\tplace\n", sta.Operations)
+	fmt.Fprintf(tab, "operation records\t%d\n\nmember\tstate\tplace\n", sta.Operations.Records)
 	for _, mbr := range sta.Members {
 		fmt.Fprintf(tab, "%s\t%s\t%s/%s\n", mbr.ID, mbr.State, mbr.Region, mbr.FailureDomain)
 	}
--- a/internal/edge/entry/caller.go
+++ b/internal/edge/entry/caller.go
@@ -137,7 +137,7 @@
 func (prc *Process) handleRequest(rsw http.ResponseWriter, rqs *http.Request) {
 	req, err := prc.readRequest(rqs)
 	if err != nil {
-		prc.refuse(rsw, req.ID, err)
+		prc.refuse(rsw, req.ID, truthful(rqs, err))
 		return
 	}
 	ctl := http.NewResponseController(rsw)
@@ -157,6 +157,21 @@
 	prc.passOn(rsw, req, ans)
 }
 
+// truthful returns the error of a request that was not accepted, as far as it is certain. An earlier sending of an
+// operation may have run through another VM, whose catalogue may differ. Only a first sending can therefore be refused
+// for what this VM lacks without asking the operation's home.
+func truthful(rqs *http.Request, err error) error {
+	var nrn *cardamompass.NotRunError
+	var inv *cardamompass.InvalidError
+	lacking := errors.As(err, &nrn) || errors.As(err, &inv) && inv.Field == serviceField
+	if !lacking || declaredIdempotent(rqs) || rqs.Header.Get(cardamompass.HeaderAttempt) == "1" {
+		return err
+	}
+	return &cardamompass.UnknownOutcomeError{
+		Reason: "an earlier sending may have run; this one: " + errors.Cause(err).Error(),
+	}
+}
+
 // passOn writes the answer. When it can't be written whole, the connection is cut before the declared end, so that the
 // caller sees that the answer is not whole.
 func (prc *Process) passOn(rsw http.ResponseWriter, req cardamompass.Request, ans cardamompass.Answer) {
--- a/internal/edge/entry/follow.go
+++ b/internal/edge/entry/follow.go
@@ -70,6 +70,9 @@
 		case <-docs:
 			prc.putInForce()
 		case <-members:
+			for _, mbr := range prc.members.Members() {
+				prc.opers.Observe(mbr)
+			}
 			prc.refreshLookups()
 			prc.engine.MembersChanged()
 			prc.prober.SetTargets(prc.engine.Targets())
--- a/internal/edge/entry/operator.go
+++ b/internal/edge/entry/operator.go
@@ -9,6 +9,7 @@
 
 	"cardamompass"
 	"cardamompass/internal/edge/dump"
+	"cardamompass/internal/edge/oper"
 	"cardamompass/internal/fleet/peer"
 	"cardamompass/internal/fleet/share"
 	"cardamompass/internal/steer/guard"
@@ -76,7 +77,7 @@
 	Services   []ServiceState `json:"services"`
 	Shares     share.State    `json:"shares"`
 	Suspects   []SuspectState `json:"suspects,omitempty"`
-	Operations int            `json:"operation-records"`
+	Operations oper.Stats     `json:"operations"`
 	Traffic    TrafficState   `json:"peer-traffic"`
 	Recent     int            `json:"recent-decisions"`
 }
@@ -115,7 +116,7 @@
 		Leaving:    prc.leaving.Load(),
 		Shares:     prc.pool.State(),
 		Suspects:   suspects(prc.guard.Entries(now), now),
-		Operations: prc.table.Len(),
+		Operations: prc.table.Stats(),
 		Recent:     len(prc.recent.Find("")),
 		Traffic: TrafficState{
 			Sent:     prc.client.Traffic(),
--- a/internal/edge/entry/request.go
+++ b/internal/edge/entry/request.go
@@ -23,6 +23,8 @@
 	servicesPrefix = "/v1/services/"
 	// headerPrefix marks the headers of the interface, which are not passed on.
 	headerPrefix = "Cardamompass-"
+	// serviceField is the field of the error for a service that is not in the catalogue.
+	serviceField = "service"
 )
 
 // readRequest makes a Request from a caller's HTTP request. Errors: InvalidError, NotRunError while there is no catalogue.
@@ -76,12 +78,8 @@
 		return err
 	}
 	req.Deadline = time.Now().Add(timeout)
-	switch text := rqs.Header.Get(cardamompass.HeaderIdempotent); {
-	case svc.AlwaysIdempotent || text == "true":
-		req.Idempotent = true
-	case text == "" && (rqs.Method == http.MethodGet || rqs.Method == http.MethodHead):
-		req.Idempotent = true
-	case text != "false":
+	req.Idempotent = svc.AlwaysIdempotent || declaredIdempotent(rqs)
+	if !req.Idempotent && rqs.Header.Get(cardamompass.HeaderIdempotent) != "false" {
 		return &cardamompass.InvalidError{
 			Field:  cardamompass.HeaderIdempotent,
 			Reason: "must be true or false",
@@ -100,6 +98,12 @@
 	return err
 }
 
+// declaredIdempotent reports whether the caller says that the request may run more than once. GET and HEAD need no word.
+func declaredIdempotent(rqs *http.Request) bool {
+	text := rqs.Header.Get(cardamompass.HeaderIdempotent)
+	return text == "true" || text == "" && (rqs.Method == http.MethodGet || rqs.Method == http.MethodHead)
+}
+
 // readTimeout returns the caller's timeout, the service's longest one if the caller gave none.
 func readTimeout(text string, longest time.Duration) (timeout time.Duration, err error) {
 	if text == "" {
--- a/internal/edge/oper/table.go
+++ b/internal/edge/oper/table.go
@@ -170,16 +170,16 @@
 // Stats are the figures of a table for the state dump and the metrics.
 type Stats struct {
 	// Records is the number of records, those of other incarnations included.
-	Records int
+	Records int `json:"records"`
 	// Running is the number of operations that run.
-	Running int
+	Running int `json:"running"`
 	// AnswerBytes is the size of the answers that are held.
-	AnswerBytes int
+	AnswerBytes int `json:"answer-bytes"`
 	// Closed is set once the table accepts no new operations.
-	Closed bool
+	Closed bool `json:"closed"`
 	// Whole and Partial count the other incarnations whose records were imported whole or in part.
-	Whole   int
-	Partial int
+	Whole   int `json:"imported-whole"`
+	Partial int `json:"imported-in-part"`
 }
 
 // Stats returns the current figures.
