share: visit a ledger soon when another VM lacks its units; metrics for members, shares and queues

Cause: the first of seven VMs took every unit and gave parts back only at its next visit, 5 to 15 s later. Names with hyphens were refused by the scrape format and silently left out of the page. A first attempt that lost against its hedge counted as cancelled, so that its target was not seen as slow. Change: a request for a loan makes the lender visit that ledger within about a second; only due ledgers are visited then. Names are sanitized, values of tags are kept. The lost attempt is reported as such.

--- a/internal/edge/engine/attempt.go
+++ b/internal/edge/engine/attempt.go
@@ -99,6 +99,9 @@
 		return health.Shed
 	case errors.Is(ctx.Err(), context.Canceled):
 		eng.cfg.Guard.Ended(rqt.key, clm.target.ID, now)
+		if clm.lost.Load() {
+			return health.HedgeLost
+		}
 		return health.Cancelled
 	case errors.As(err, &unk) && unk.Broken:
 		rqt.broken(clm, now)
--- a/internal/edge/engine/claim.go
+++ b/internal/edge/engine/claim.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"sync/atomic"
 	"time"
 
 	"cardamompass"
@@ -19,6 +20,8 @@
 	suspect bool
 	hedge   bool
 	began   time.Time
+	// lost is set when the attempt is cancelled because its hedge was answered first.
+	lost atomic.Bool
 }
 
 // request is one request on its way.
--- a/internal/edge/engine/execute.go
+++ b/internal/edge/engine/execute.go
@@ -161,6 +161,7 @@
 			running--
 			rqt.note(rec, rst)
 			if rst.err == nil || running == 0 {
+				clm.lost.Store(rst.clm.hedge)
 				return rst
 			}
 			var nrn *cardamompass.NotRunError
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -361,6 +361,7 @@
 	prc.spread.Start()
 	prc.onCleanup(prc.pool.Start())
 	prc.wtg.Go(prc.follow)
+	prc.wtg.Go(prc.observe)
 	if prc.cfg.VMs != nil {
 		prc.wtg.Go(prc.followList)
 	}
--- a/internal/fleet/share/pool.go
+++ b/internal/fleet/share/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand"
 	"slices"
 	"sync"
@@ -65,9 +66,11 @@
 	wake     chan struct{}
 	// visiting admits one visit at a time: concurrent visits of one ledger would race on the units held.
 	visiting sync.Mutex
-	// uneven is set when the last visits saw an owner with much less than an equal part.
-	uneven  atomic.Bool
-	started time.Time
+	started  time.Time
+	// due are the ledgers to be visited at dueTime, guarded by mtx; soon tells that there are any.
+	due     map[string]bool
+	dueTime time.Time
+	soon    chan struct{}
 }
 
 type heldLease struct {
@@ -85,6 +88,8 @@
 		cells:   make(map[string]*cell),
 		wake:    make(chan struct{}, 1),
 		started: cfg.Clock.Now(),
+		due:     make(map[string]bool),
+		soon:    make(chan struct{}, 1),
 	}
 	pol.lease.Store(&heldLease{})
 	return pol
@@ -193,35 +198,77 @@
 	}
 }
 
-// runVisits keeps the lease and visits every ledger now and then.
+// runVisits keeps the lease, visits every ledger now and then, and those soon that are divided unevenly.
 func (pol *Pool) runVisits(ctx context.Context) {
+	pol.Visit(ctx)
+	full := pol.cfg.Clock.Now().Add(pol.jittered(visitBase, visitPerMember))
 	for {
-		pol.Visit(ctx)
-		tmr := pol.cfg.Clock.NewTimer(pol.untilVisit())
+		next := full
+		if due, ok := pol.dueAt(); ok && due.Before(full) {
+			next = due
+		}
+		tmr := pol.cfg.Clock.NewTimer(next.Sub(pol.cfg.Clock.Now()))
 		select {
 		case <-ctx.Done():
 			tmr.Stop()
 			return
 		case <-pol.wake:
+			pol.Visit(ctx)
+		case <-pol.soon:
+			// A ledger became due; the time of the next visit is computed anew.
 		case <-tmr.C():
+			if next.Before(full) {
+				pol.visit(ctx, pol.takeDue())
+				break
+			}
+			pol.Visit(ctx)
+			full = pol.cfg.Clock.Now().Add(pol.jittered(visitBase, visitPerMember))
 		}
 		tmr.Stop()
 	}
 }
 
-// untilVisit returns the time until the next visit. It grows with the fleet, and is shorter while units are divided
-// unevenly, because then other owners are lowering their entries.
-func (pol *Pool) untilVisit() time.Duration {
-	base, perMember := visitBase, visitPerMember
-	if pol.uneven.Load() {
-		base, perMember = unevenBase, unevenPerMember
-	}
+// jittered returns a time around base plus perMember for each member of the fleet.
+func (pol *Pool) jittered(base, perMember time.Duration) time.Duration {
 	interval := base + time.Duration(len(pol.cfg.Members.Members())*int(perMember))
 	return interval/2 + time.Duration(pol.cfg.Random(int64(interval)))
 }
 
+// setDue makes a ledger be visited soon, because it is divided unevenly or another VM lacks its units.
+func (pol *Pool) setDue(name string) {
+	at := pol.cfg.Clock.Now().Add(pol.jittered(unevenBase, unevenPerMember))
+	pol.mtx.Lock()
+	defer pol.mtx.Unlock()
+	if len(pol.due) == 0 {
+		pol.dueTime = at
+		select {
+		case pol.soon <- struct{}{}:
+		default:
+		}
+	}
+	pol.due[name] = true
+}
+
+func (pol *Pool) dueAt() (at time.Time, ok bool) {
+	pol.mtx.Lock()
+	defer pol.mtx.Unlock()
+	return pol.dueTime, len(pol.due) > 0
+}
+
+func (pol *Pool) takeDue() (names []string) {
+	pol.mtx.Lock()
+	defer pol.mtx.Unlock()
+	names = slices.Sorted(maps.Keys(pol.due))
+	clear(pol.due)
+	return names
+}
+
 // Visit renews the lease if that is due and visits every ledger once. Failures are logged and left to the next visit.
 func (pol *Pool) Visit(ctx context.Context) {
+	pol.visit(ctx, pol.names())
+}
+
+func (pol *Pool) visit(ctx context.Context, names []string) {
 	pol.visiting.Lock()
 	defer pol.visiting.Unlock()
 	if pol.leaving.Load() {
@@ -231,8 +278,7 @@
 		pol.cfg.Log.Warn("share lease not renewed", zap.Error(err), zap.Time("ends", pol.leaseEnds()))
 		return
 	}
-	pol.uneven.Store(false)
-	for _, name := range pol.names() {
+	for _, name := range names {
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/fleet/share/service.go
+++ b/internal/fleet/share/service.go
@@ -67,6 +67,8 @@
 		vm:          args.VM,
 		incarnation: args.Incarnation,
 	}
+	// A VM that borrows may own less than its part, which only a visit of this VM can give up.
+	pol.setDue(args.Resource)
 	now := pol.cfg.Clock.Now()
 	cel.mtx.Lock()
 	defer cel.mtx.Unlock()
--- a/internal/fleet/share/visit.go
+++ b/internal/fleet/share/visit.go
@@ -55,6 +55,9 @@
 	}
 	cel := pol.cell(name)
 	next, force := pol.plan(cel, led, revision, gone)
+	if next.uneven() {
+		pol.setDue(name)
+	}
 	if next.Equal(led) && !force {
 		cel.confirm(next.Units(pol.owner()), next.Capacity)
 		return true, nil
@@ -95,9 +98,6 @@
 		Gone:             func(ent Entry) bool { return gone[ent.Owner] },
 	})
 	cel.units = min(cel.units, next.Units(own))
-	if next.uneven() {
-		pol.uneven.Store(true)
-	}
 	return next, cel.doubt
 }
 
--- a/internal/obs/metric/metric.go
+++ b/internal/obs/metric/metric.go
@@ -40,6 +40,7 @@
 		Tags:           cfg.Tags,
 		CachedReporter: rep,
 		Separator:      prometheus.DefaultSeparator,
+		SanitizeOptions: sanitizeOptions(),
 	}, reportInterval)
 	mtr = &Metrics{
 		scope: scope,
@@ -48,6 +49,16 @@
 	return mtr, func() { _ = closer.Close() }
 }
 
+// sanitizeOptions replace hyphens in names, which the scrape format has not, and keep the values of tags readable.
+func sanitizeOptions() *tally.SanitizeOptions {
+	opts := prometheus.DefaultSanitizerOpts
+	opts.ValueCharacters = tally.ValidCharacters{
+		Ranges:     tally.AlphanumericRange,
+		Characters: append([]rune{'/', ':'}, tally.UnderscoreDashDotCharacters...),
+	}
+	return &opts
+}
+
 // Scope returns the root scope.
 func (mtr *Metrics) Scope() tally.Scope { return mtr.scope }
 
