--- a/internal/fleet/peer/conn.go
+++ b/internal/fleet/peer/conn.go
@@ -226,6 +226,9 @@
 	if err = ccd.frd.decode(&ccd.hdr); err != nil {
 		return ccd.fail(errors.Wrap(err, "bad reply header"))
 	}
+	if ccd.hdr.Kind == 0 {
+		return ccd.fail(errors.New("reply header without a kind"))
+	}
 	rsp.Seq = ccd.hdr.Seq
 	return nil
 }
--- a/internal/fleet/peer/dispatch.go
+++ b/internal/fleet/peer/dispatch.go
@@ -217,7 +217,8 @@
 func (scd *serverCodec) WriteResponse(rsp *rpc.Response, body any) (err error) {
 	defer func() { <-scd.slots }()
 	hdr := replyHeader{
-		Seq: rsp.Seq,
+		Seq:  rsp.Seq,
+		Kind: failureNone,
 	}
 	out, ok := body.(*Outbound)
 	switch {
--- a/internal/fleet/peer/export_test.go
+++ b/internal/fleet/peer/export_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"net"
 	"time"
 )
@@ -17,3 +18,19 @@
 func AcceptRaw(con net.Conn, key []byte) (err error) {
 	return shakeServer(con, key, time.Now().Add(time.Second))
 }
+
+// Frame returns the frame of a call.
+func Frame(method string, args any) (data []byte) {
+	var buf bytes.Buffer
+	fwr := newFrameWriter(&buf, DefaultMaxMessageBytes)
+	if err := fwr.encode(requestHeader{
+		Method:  method,
+		Timeout: time.Second,
+	}, args); err != nil {
+		panic(err)
+	}
+	if _, err := fwr.flush(); err != nil {
+		panic(err)
+	}
+	return buf.Bytes()
+}
--- a/internal/fleet/peer/frame.go
+++ b/internal/fleet/peer/frame.go
@@ -189,7 +189,8 @@
 type failureKind uint8
 
 const (
-	failureNone failureKind = iota
+	// failureNone is not zero, so that a header without fields does not pass for a success.
+	failureNone failureKind = iota + 1
 	failureNotRun
 	failureUnknown
 	failureInvalid
