share: give more units to the VMs of a region, and even out the first division soon

Cause: after a start the first VM held all units until its next visit, 5 to 15 s later, and equal parts gave four sevenths of a region's slots to VMs of other regions. Change: a VM that owns less than half of its part tells the owner of the most units, which then visits the ledger within two seconds; entries carry a weight, 4 for caps of the VM's own region and 1 for others.

--- a/internal/edge/engine/engine.go
+++ b/internal/edge/engine/engine.go
@@ -136,7 +136,7 @@
 	}
 	next.targets = eng.subset(cat)
 	eng.cfg.Tracker.SetTargets(next.list(), eng.cfg.Clock.Now())
-	eng.cfg.Pool.SetResources(Resources(cat), int64(cat.Version()))
+	eng.cfg.Pool.SetResources(Resources(cat, eng.cfg.Self.Region), int64(cat.Version()))
 	eng.plan.Store(next)
 	for name, sta := range old {
 		if next.services[name] == nil {
@@ -233,15 +233,26 @@
 	}
 }
 
-// Resources returns the caps of a catalogue as resources to be divided.
-func Resources(cat *catlg.Catalogue) (list []share.Resource) {
+// homeWeight is the weight of a VM's part in the caps of its own region, where other VMs have weight 1. Most requests use the
+// VMs of their region; the rest of the units keeps targets within reach when all VMs of their region are gone.
+const homeWeight = 4
+
+// Resources returns the caps of a catalogue as resources to be divided, with the weights of a VM in region self.
+func Resources(cat *catlg.Catalogue, self cardamompass.Region) (list []share.Resource) {
 	const bytesPerKbit = 1000 / 8
+	weight := func(regions ...cardamompass.Region) int64 {
+		if slices.Contains(regions, self) {
+			return homeWeight
+		}
+		return 1
+	}
 	for _, lnk := range cat.Links() {
 		list = append(list, share.Resource{
 			Name:        share.LinkName(lnk.From, lnk.To),
 			Kind:        share.KindRate,
 			Capacity:    lnk.KbitPerSecond * bytesPerKbit,
 			LongPercent: lnk.LongPercent,
+			Weight:      weight(lnk.From, lnk.To),
 		})
 	}
 	for _, sft := range cat.Shifts() {
@@ -249,6 +260,7 @@
 			Name:     share.ShiftName(sft.Service, sft.From, sft.To),
 			Kind:     share.KindRate,
 			Capacity: sft.RequestsPerSecond,
+			Weight:   weight(sft.From, sft.To),
 		})
 	}
 	for _, svc := range cat.Services() {
@@ -263,6 +275,7 @@
 					Kind:     share.KindSlots,
 					Capacity: int64(slots),
 					Linger:   svc.MaxTimeout,
+					Weight:   weight(reg.Name),
 				})
 			}
 		}
--- a/internal/fleet/share/ledger.go
+++ b/internal/fleet/share/ledger.go
@@ -32,6 +32,8 @@
 type Entry struct {
 	Owner
 	Units int64 `json:"units"`
+	// Weight is the relative size of the owner's part, at least 1.
+	Weight int64 `json:"weight"`
 }
 
 // Ledger is the division of one resource. It is immutable. The sum of its units never exceeds its capacity.
@@ -136,7 +138,7 @@
 }
 
 // Plan returns the ledger that the visitor wants: without the entries of gone owners, with the capacity in force if the
-// visitor knows a catalogue that is at least as new as the ledger's, and with the visitor's units moved towards an equal
+// visitor knows a catalogue that is at least as new as the ledger's, and with the visitor's units moved towards its
 // part. Only the visitor's own units and those of gone owners change.
 func (led Ledger) Plan(vis Visit) (next Ledger) {
 	next = led.without(func(ent Entry) bool {
@@ -148,10 +150,10 @@
 	}
 	mine := min(next.Units(vis.Owner), vis.Held)
 	others := next.WithoutOwner(vis.Owner).Sum()
-	part := equalPart(next, vis, capacity)
+	part := partOf(next, vis, capacity)
 	units := mine
 	switch {
-	case mine > part && (others+mine > capacity || next.starved(vis.Owner, part)):
+	case mine > part && (others+mine > capacity || next.starved(vis.Owner, capacity)):
 		units = max(part, min(vis.Floor, mine))
 	case mine < part:
 		units += min(part-mine, max(0, capacity-others-mine))
@@ -160,8 +162,9 @@
 		units = min(mine, vis.Floor)
 	}
 	next = next.WithEntry(Entry{
-		Owner: vis.Owner,
-		Units: units,
+		Owner:  vis.Owner,
+		Units:  units,
+		Weight: vis.Resource.Weight,
 	})
 	// A lower capacity is written only when the units fit into it; until then owners scale their units down.
 	if next.Sum() <= capacity && vis.CatalogueVersion >= led.CatalogueVersion {
@@ -171,33 +174,59 @@
 	return next
 }
 
-// starved reports whether another owner has less than half of an equal part. Owners lower their entries only then, so that
-// small changes in the number of owners cause no writes.
-func (led Ledger) starved(own Owner, part int64) bool {
-	return slices.ContainsFunc(led.Entries, func(ent Entry) bool {
-		return !ent.same(own) && ent.Units < part/2
-	})
+// parts returns the part of the capacity of each entry by its weight. The remainder of the division goes to the first
+// entries.
+func (led Ledger) parts(capacity int64) (parts []int64) {
+	var weights int64
+	for _, ent := range led.Entries {
+		weights += max(1, ent.Weight)
+	}
+	left := capacity
+	for _, ent := range led.Entries {
+		part := capacity * max(1, ent.Weight) / weights
+		parts = append(parts, part)
+		left -= part
+	}
+	for num := range parts {
+		if int64(num) < left {
+			parts[num]++
+		}
+	}
+	return parts
 }
 
-// uneven reports whether an owner has less than half of an equal part.
-func (led Ledger) uneven() bool {
-	part := led.Capacity / max(1, int64(len(led.Entries)))
-	return part >= minRateUnits && led.starved(Owner{}, part)
+// starved reports whether an owner other than own has less than half of its part. Owners lower their entries only then, so
+// that small changes in the number of owners cause no writes.
+func (led Ledger) starved(own Owner, capacity int64) bool {
+	parts := led.parts(capacity)
+	for num, ent := range led.Entries {
+		if !ent.same(own) && 2*ent.Units < parts[num] {
+			return true
+		}
+	}
+	return false
+}
+
+// uneven reports whether an owner has less than half of its part, and the parts are large enough to be owned at all.
+func (led Ledger) uneven(least int64) bool {
+	return led.Capacity/max(1, int64(len(led.Entries))) >= least && led.starved(Owner{}, led.Capacity)
 }
 
-// equalPart returns the visitor's part of the capacity among the present owners. The remainder of the division goes to
-// the first owners in the order of the ledger.
-func equalPart(led Ledger, vis Visit, capacity int64) int64 {
+// lacks reports whether own has less than half of its part.
+func (led Ledger) lacks(own Owner) bool {
+	parts := led.parts(led.Capacity)
+	pos := slices.IndexFunc(led.Entries, func(ent Entry) bool { return ent.same(own) })
+	return pos >= 0 && 2*led.Entries[pos].Units < parts[pos]
+}
+
+// partOf returns the visitor's part of the capacity among the present owners.
+func partOf(led Ledger, vis Visit, capacity int64) int64 {
 	withSelf := led.WithEntry(Entry{
-		Owner: vis.Owner,
+		Owner:  vis.Owner,
+		Weight: vis.Resource.Weight,
 	})
-	count := int64(len(withSelf.Entries))
-	pos := int64(slices.IndexFunc(withSelf.Entries, func(ent Entry) bool { return ent.same(vis.Owner) }))
-	part := capacity / count
-	if pos < capacity%count {
-		part++
-	}
-	return max(part, min(vis.Resource.minUnits(), capacity))
+	pos := slices.IndexFunc(withSelf.Entries, func(ent Entry) bool { return ent.same(vis.Owner) })
+	return max(withSelf.parts(capacity)[pos], min(vis.Resource.minUnits(), capacity))
 }
 
 // Equal reports whether two ledgers hold the same division.
--- a/internal/fleet/share/resource.go
+++ b/internal/fleet/share/resource.go
@@ -42,6 +42,8 @@
 	Linger time.Duration
 	// LongPercent is the part of a rate that work of the long class may use; 0 means all.
 	LongPercent int
+	// Weight is the relative size of this VM's part, at least 1. VMs that are likely to use a resource own more of it.
+	Weight int64
 }
 
 // minUnits is the smallest part that one VM owns or borrows.
--- a/internal/fleet/share/service.go
+++ b/internal/fleet/share/service.go
@@ -44,6 +44,14 @@
 // ReturnReply is empty.
 type ReturnReply struct{}
 
+// UnevenArgs says that a resource is divided unevenly and that the receiver owns most of it.
+type UnevenArgs struct {
+	Resource string
+}
+
+// UnevenReply is empty.
+type UnevenReply struct{}
+
 // Service answers the loan messages of other entry VMs. Its methods have the form that net/rpc wants.
 type Service struct {
 	pol *Pool
@@ -67,8 +75,6 @@
 		vm:          args.VM,
 		incarnation: args.Incarnation,
 	}
-	// A VM that borrows may own less than its part, which only a visit of this VM can give up.
-	pol.setDue(args.Resource)
 	now := pol.cfg.Clock.Now()
 	cel.mtx.Lock()
 	defer cel.mtx.Unlock()
@@ -105,6 +111,14 @@
 	return nil
 }
 
+// Uneven makes this VM visit a ledger soon, where it gives up what exceeds its part.
+func (svc *Service) Uneven(args *UnevenArgs, _ *UnevenReply) (err error) {
+	if svc.pol.cell(args.Resource) != nil {
+		svc.pol.setDue(args.Resource)
+	}
+	return nil
+}
+
 // runLoans borrows while there is demand, renews loans and returns those that are not needed.
 func (pol *Pool) runLoans(ctx context.Context) {
 	for pol.pause(ctx, borrowInterval) == nil {
--- a/internal/fleet/share/sim_test.go
+++ b/internal/fleet/share/sim_test.go
@@ -241,6 +241,8 @@
 		switch method {
 		case "Share.Borrow":
 			err = oth.pol.Service().Borrow(args.(*share.BorrowArgs), reply.(*share.BorrowReply))
+		case "Share.Uneven":
+			err = oth.pol.Service().Uneven(args.(*share.UnevenArgs), reply.(*share.UnevenReply))
 		case "Share.Return":
 			err = oth.pol.Service().Return(args.(*share.ReturnArgs), reply.(*share.ReturnReply))
 		}
--- a/internal/fleet/share/visit.go
+++ b/internal/fleet/share/visit.go
@@ -1,7 +1,9 @@
 package share
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -55,11 +57,9 @@
 	}
 	cel := pol.cell(name)
 	next, force := pol.plan(cel, led, revision, gone)
-	if next.uneven() {
-		pol.setDue(name)
-	}
 	if next.Equal(led) && !force {
 		cel.confirm(next.Units(pol.owner()), next.Capacity)
+		pol.followUneven(ctx, name, next)
 		return true, nil
 	}
 	data, err := next.Marshal()
@@ -67,7 +67,38 @@
 		return false, err
 	}
 	_, err = pol.cfg.Store.Put(ctx, pol.key(name), data, revision)
-	return pol.settle(cel, next, revision, err)
+	done, err = pol.settle(cel, next, revision, err)
+	if done {
+		pol.followUneven(ctx, name, next)
+	}
+	return done, err
+}
+
+// followUneven makes an uneven division even soon: this VM visits the ledger again, and if it is the one that owns too little,
+// the VM that owns most is told to do so too.
+func (pol *Pool) followUneven(ctx context.Context, name string, led Ledger) {
+	if !led.uneven(pol.cell(name).least()) {
+		return
+	}
+	pol.setDue(name)
+	if !led.lacks(pol.cfg.Owner) {
+		return
+	}
+	most := slices.MaxFunc(led.Entries, func(one, two Entry) int { return cmp.Compare(one.Units, two.Units) })
+	for _, mbr := range pol.cfg.Members.Members() {
+		if mbr.VM.ID != most.VM || mbr.VM.Incarnation != most.Incarnation || !mbr.Serving() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+		defer cancel()
+		args := &UnevenArgs{
+			Resource: name,
+		}
+		if err := pol.cfg.Peers.Call(ctx, mbr.VM.PeerAddress, ServiceName+".Uneven", args, &UnevenReply{}); err != nil {
+			pol.cfg.Log.Debug("owner not told of uneven units", zap.String("resource", name), zap.Error(err))
+		}
+		return
+	}
 }
 
 // plan decides on the next ledger. Units that it gives up are not used from here on, before the write that gives them to
@@ -122,6 +153,13 @@
 	}
 }
 
+// least is the smallest part of the resource that one VM owns.
+func (cel *cell) least() int64 {
+	cel.mtx.Lock()
+	defer cel.mtx.Unlock()
+	return cel.res.minUnits()
+}
+
 // confirm records the units that the ledger gives to this incarnation.
 func (cel *cell) confirm(units, capacity int64) {
 	cel.mtx.Lock()
@@ -176,8 +214,9 @@
 		next := led.WithoutOwner(own)
 		if left > 0 {
 			next = next.WithEntry(Entry{
-				Owner: own,
-				Units: left,
+				Owner:  own,
+				Units:  left,
+				Weight: 1,
 			})
 		}
 		data, err := next.Marshal()
--- a/internal/obs/metric/metric.go
+++ b/internal/obs/metric/metric.go
@@ -36,10 +36,10 @@
 		OnRegisterError: func(error) {},
 	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         "cardamompass",
-		Tags:           cfg.Tags,
-		CachedReporter: rep,
-		Separator:      prometheus.DefaultSeparator,
+		Prefix:          "cardamompass",
+		Tags:            cfg.Tags,
+		CachedReporter:  rep,
+		Separator:       prometheus.DefaultSeparator,
 		SanitizeOptions: sanitizeOptions(),
 	}, reportInterval)
 	mtr = &Metrics{
