--- a/cmd/cardamompass/main.go
+++ b/cmd/cardamompass/main.go
@@ -23,6 +23,7 @@
 	Lookup    LookupCmd    `cmd:"" help:"Ask which entry VMs to use."`
 	Request   RequestCmd   `cmd:"" help:"Send a request as a caller does."`
 	Dump      DumpCmd      `cmd:"" help:"Show the state of entry VMs."`
+	Bench     BenchCmd     `cmd:"" help:"Measure the steering under load, against the naive baseline."`
 	Version   VersionCmd   `cmd:"" help:"Show the program's version."`
 }
 
