bench: wait for the division of slots, write the state of entry VMs

Cause: a load that begins before the ledger is divided measures the start of a site, and a slow run needs its reasons.

--- a/cmd/cardamompass/bench.go
+++ b/cmd/cardamompass/bench.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"time"
 
 	"cardamompass/internal/load/bench"
@@ -15,6 +16,7 @@
 	Duration time.Duration `help:"Length of one load." default:"4s"`
 	Tries    int           `help:"Number of tries of each time in the scenario times." default:"5"`
 	JSON     bool          `help:"Print the report as JSON." name:"json"`
+	State    string        `help:"Write the state of the entry VMs and recent slow decisions after each current load to this file." type:"path"`
 	Plot     string        `help:"Write the latency curves to this PNG file." type:"path"`
 }
 
@@ -24,12 +26,21 @@
 	if err != nil {
 		return err
 	}
-	rep, err := scn.Run(ctx, bench.Config{
+	cfg := bench.Config{
 		Seed:     cmd.Seed,
 		Repeats:  max(1, cmd.Repeats),
 		Duration: cmd.Duration,
 		Tries:    max(1, cmd.Tries),
-	})
+	}
+	if cmd.State != "" {
+		fil, err := os.Create(cmd.State)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = fil.Close() }()
+		cfg.State = fil
+	}
+	rep, err := scn.Run(ctx, cfg)
 	if err != nil {
 		return err
 	}
--- a/internal/load/bench/bench.go
+++ b/internal/load/bench/bench.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"io"
 	"sort"
 	"time"
 
@@ -23,8 +24,8 @@
 	Duration time.Duration
 	// Tries is the number of tries of each time that the scenario times measures.
 	Tries int
-	// Hook, if set, is called after each load on a current site, before that site ends, for a look at its state.
-	Hook func(name string, sit *Site)
+	// State, if set, receives the state of the entry VMs and the slowest recent decisions after each load on a current site.
+	State io.Writer
 }
 
 // Scenario is a load with its faults and goals.
--- a/internal/load/bench/site.go
+++ b/internal/load/bench/site.go
@@ -88,6 +88,12 @@
 		Site:    dst,
 		callers: make(map[cardamompass.Region][]*caller.Caller),
 	}
+	if !scf.naive {
+		if err := sit.awaitSteady(); err != nil {
+			stop()
+			return nil, nil, err
+		}
+	}
 	closes := sit.addCallers()
 	return sit, func() {
 		for _, cls := range closes {
--- a/internal/load/bench/stragglers.go
+++ b/internal/load/bench/stragglers.go
@@ -118,8 +118,10 @@
 	rcd = lod.run(ctx)
 	stop()
 	wtg.Wait()
-	if cfg.Hook != nil && !naive {
-		cfg.Hook("stragglers", sit)
+	if !naive {
+		if err := sit.writeState(cfg.State); err != nil {
+			return nil, 0, err
+		}
 	}
 	return rcd, 100 * (float64(sit.arrived())/float64(max(1, rcd.Sent())) - 1), ctx.Err()
 }
