--- /dev/null
+++ b/internal/edge/entry/bench_test.go
@@ -0,0 +1,79 @@
+package entry_test
+
+import (
+	"io"
+	"net/http"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cardamompass/internal/stand/demo"
+)
+
+// BenchmarkLookupHTTP measures look-ups over connections that are kept, with caller and entry VM in this process.
+func BenchmarkLookupHTTP(b *testing.B) {
+	cfg, err := demo.Small(zap.NewNop())
+	if err != nil {
+		b.Fatal(err)
+	}
+	cfg.VMs = cfg.VMs[:1]
+	sit, cleanup, err := demo.New(cfg)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer cleanup()
+	url := "http://" + sit.VMs[0].VM().CallerAddress + "/v1/lookup?service=kiosk-core&region=gulf"
+	trn := &http.Transport{
+		MaxIdleConnsPerHost: 64,
+	}
+	defer trn.CloseIdleConnections()
+	cli := &http.Client{
+		Transport: trn,
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		res, err := cli.Get(url)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if res.StatusCode != http.StatusOK {
+			b.Fatal(res.Status)
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+	}
+}
+
+// idleTime is the time over which the processor time of an idle entry VM is taken.
+const idleTime = 3 * time.Second
+
+func processorTime(b *testing.B) (used time.Duration) {
+	var usg syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usg); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usg.Utime.Nano() + usg.Stime.Nano())
+}
+
+// BenchmarkIdle reports the heap, the goroutines and the processor time of one more entry VM without a catalogue, whose
+// store is out of reach.
+func BenchmarkIdle(b *testing.B) {
+	for b.Loop() {
+		runtime.GC()
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		count := runtime.NumGoroutine()
+		startAlone(b)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "heap-MiB")
+		b.ReportMetric(float64(runtime.NumGoroutine()-count), "goroutines")
+		used := processorTime(b)
+		time.Sleep(idleTime)
+		b.ReportMetric(float64(processorTime(b)-used)/float64(idleTime)*1000, "cpu-ms/s")
+	}
+	b.ReportMetric(0, "ns/op")
+}
--- a/internal/edge/entry/entry_test.go
+++ b/internal/edge/entry/entry_test.go
@@ -51,7 +51,7 @@
 
 func (downStore) Revoke(context.Context, cardamompass.LeaseID) error { return errDown }
 
-func startAlone(t *testing.T) (address string) {
+func startAlone(t testing.TB) (address string) {
 	t.Helper()
 	set, err := config.Parse("test", []byte(`{
 		"vm-id": "vm-1", "region": "gulf", "failure-domain": "a",
--- a/internal/edge/lookup/bench_test.go
+++ b/internal/edge/lookup/bench_test.go
@@ -1,12 +1,15 @@
 package lookup_test
 
 import (
+	"fmt"
 	"math/rand"
 	"net/netip"
 	"runtime"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
+	"unsafe"
 
 	"cardamompass"
 	"cardamompass/internal/edge/lookup"
@@ -107,3 +110,108 @@
 		}
 	}
 }
+
+// secondClock advances by a second with each reading, so that no answer is reused.
+type secondClock struct{ now time.Time }
+
+func (clk *secondClock) Now() time.Time {
+	clk.now = clk.now.Add(time.Second)
+	return clk.now
+}
+
+func (clk *secondClock) NewTimer(dur time.Duration) cardamompass.Timer {
+	return cardamompass.SystemClock{}.NewTimer(dur)
+}
+
+// fleetView has the given numbers of entry VMs and regions; each region is near all others.
+func fleetView(vms, regions int) (view lookup.View) {
+	view = lookup.View{
+		Regions:  make(map[cardamompass.Region]cardamompass.RegionInfo),
+		Services: map[cardamompass.ServiceName]bool{"kiosk-core": true},
+	}
+	for num := range regions {
+		var inf cardamompass.RegionInfo
+		for oth := range regions {
+			if oth != num {
+				inf.Near = append(inf.Near, cardamompass.Region(fmt.Sprintf("region-%02d", oth)))
+			}
+		}
+		view.Regions[cardamompass.Region(fmt.Sprintf("region-%02d", num))] = inf
+	}
+	for num := range vms {
+		view.Members = append(view.Members, member(fmt.Sprintf("entry-vm-%03d", num),
+			fmt.Sprintf("region-%02d", num%regions), string(rune('a'+num/regions%3)), cardamompass.StateAlive))
+	}
+	return view
+}
+
+// BenchmarkBuild measures an answer that is made anew, by the size of the fleet and the number of regions, and the
+// size of an answer.
+func BenchmarkBuild(b *testing.B) {
+	for _, size := range []struct{ vms, regions int }{{7, 3}, {50, 4}, {200, 4}, {430, 4}, {430, 89}} {
+		b.Run(fmt.Sprintf("vms=%d/regions=%d", size.vms, size.regions), func(b *testing.B) {
+			ans := lookup.New(lookup.Config{
+				Clock:  &secondClock{},
+				MaxAge: 5 * time.Second,
+				Ticket: func(vm cardamompass.VM, _ time.Time) string {
+					return string(vm.ID) + "/1790000000000000000/1790000000000"
+				},
+			})
+			ans.SetView(fleetView(size.vms, size.regions))
+			var bytes int
+			for b.Loop() {
+				data, err := ans.Answer(lookup.Question{
+					Service: "kiosk-core",
+					Region:  "region-01",
+				})
+				if err != nil {
+					b.Fatal(err)
+				}
+				bytes = len(data)
+			}
+			b.ReportMetric(float64(bytes), "B/answer")
+		})
+	}
+}
+
+// BenchmarkTableSize measures the memory of the table by the number of blocks.
+func BenchmarkTableSize(b *testing.B) {
+	all := scatteredBlocks()
+	for _, count := range []int{350_000, 700_000, 1_400_000, targetBlocks} {
+		b.Run(fmt.Sprintf("blocks=%d", count), func(b *testing.B) {
+			var size uint64
+			for b.Loop() {
+				before := heap()
+				tbl, err := lookup.NewTable(all[:count])
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = heap() - before
+				runtime.KeepAlive(tbl)
+			}
+			b.ReportMetric(float64(size)/(1<<20), "MiB")
+			b.ReportMetric(float64(size)/float64(count), "B/block")
+		})
+	}
+	runtime.KeepAlive(all)
+}
+
+// BenchmarkShardBytes reports the size of the largest and the mean shard of scattered blocks in the two forms in which a
+// shard could be stored: JSON as in the catalogue, and three bytes of address, one of length and two of region.
+func BenchmarkShardBytes(b *testing.B) {
+	var text, count [256]int
+	for _, blk := range scatteredBlocks() {
+		first := blk.Prefix.Addr().As4()[0]
+		text[first] += len(blk.Prefix.String()) + len(`"",`)
+		count[first]++
+	}
+	for b.Loop() {
+		_ = count
+	}
+	b.ReportMetric(float64(unsafe.Sizeof(lookup.Block{})), "B/Block")
+	b.ReportMetric(float64(slices.Max(count[:])), "largest-blocks")
+	b.ReportMetric(float64(targetBlocks)/256, "mean-blocks")
+	b.ReportMetric(float64(slices.Max(text[:])), "largest-text-B")
+	b.ReportMetric(float64(slices.Max(count[:])*6), "largest-binary-B")
+	b.ReportMetric(0, "ns/op")
+}
