bench: scenarios blocking and storm

Cause: head-of-line blocking and combined faults had no figures. Change: scenarios blocking and storm; the demo site can end an entry VM without a planned stop.

--- a/cmd/cardamompass/bench.go
+++ b/cmd/cardamompass/bench.go
@@ -10,7 +10,7 @@
 
 // BenchCmd measures the current steering and the naive baseline under load.
 type BenchCmd struct {
-	Scenario string        `arg:"" help:"Scenario: stragglers."`
+	Scenario string        `arg:"" help:"Scenario: stragglers, blocking, storm, cost or times."`
 	Seed     uint64        `help:"Seed of arrivals, service times and faults." default:"1"`
 	Repeats  int           `help:"Number of runs; the table shows median and range." default:"3"`
 	Duration time.Duration `help:"Length of one load." default:"4s"`
--- a/internal/load/bench/bench.go
+++ b/internal/load/bench/bench.go
@@ -41,6 +41,8 @@
 func Scenarios() []Scenario {
 	return []Scenario{
 		stragglers(),
+		blocking(),
+		storm(),
 	}
 }
 
--- a/internal/load/bench/site.go
+++ b/internal/load/bench/site.go
@@ -18,11 +18,12 @@
 )
 
 const (
-	gulf  = cardamompass.Region("gulf")
-	delta = cardamompass.Region("delta")
+	gulf     = cardamompass.Region("gulf")
+	delta    = cardamompass.Region("delta")
+	piedmont = cardamompass.Region("piedmont")
 	// callersPerRegion is the number of callers, each with a loopback address of its own, because look-up answers rotate by
 	// the caller's address.
-	callersPerRegion = 28
+	callersPerRegion = 140
 	// requestTimeout is the deadline of short requests.
 	requestTimeout = 2 * time.Second
 )
@@ -31,6 +32,7 @@
 type Site struct {
 	*demo.Site
 	callers map[cardamompass.Region][]*caller.Caller
+	specs   []cardamompass.Target
 	total   int
 }
 
@@ -52,7 +54,7 @@
 	edit func(cfg *demo.Config) error
 }
 
-// newSite starts a site with callers in the regions gulf and delta.
+// newSite starts a site with callers in all regions.
 func newSite(scf siteConfig) (sit *Site, cleanup func(), err error) {
 	cfg, err := demo.Small(zap.NewNop())
 	if err != nil {
@@ -87,6 +89,7 @@
 	sit = &Site{
 		Site:    dst,
 		callers: make(map[cardamompass.Region][]*caller.Caller),
+		specs:   cfg.Targets,
 	}
 	if !scf.naive {
 		if err := sit.awaitSteady(); err != nil {
@@ -123,7 +126,7 @@
 	for _, prc := range sit.VMs {
 		entries = append(entries, prc.VM().CallerAddress)
 	}
-	for pos, reg := range []cardamompass.Region{gulf, delta} {
+	for pos, reg := range []cardamompass.Region{gulf, delta, piedmont} {
 		for num := range callersPerRegion {
 			first := num % len(entries)
 			clr, stop := caller.New(caller.Config{
--- a/internal/stand/demo/demo.go
+++ b/internal/stand/demo/demo.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -67,6 +68,7 @@
 
 	cfg      Config
 	listAt   string
+	ends     map[cardamompass.VMID]func()
 	cleanups []func()
 }
 
@@ -76,6 +78,7 @@
 	sit = &Site{
 		Targets: make(map[cardamompass.TargetID]*target.Target),
 		cfg:     cfg,
+		ends:    make(map[cardamompass.VMID]func()),
 	}
 	for _, step := range []func() error{sit.startPlatform, sit.startTargets, sit.startVMs, sit.AwaitReady} {
 		if err := step(); err != nil {
@@ -204,6 +207,8 @@
 	if err != nil {
 		return err
 	}
+	stop = sync.OnceFunc(stop)
+	sit.ends[vid] = stop
 	sit.onCleanup(stop)
 	sit.VMs = append(sit.VMs, prc)
 	sit.VMList.Put(cardamompass.ListedVM{
@@ -213,6 +218,13 @@
 	return nil
 }
 
+// EndVM ends an entry VM at once, without a planned stop. The site still lists it in VMs.
+func (sit *Site) EndVM(vid cardamompass.VMID) {
+	if end := sit.ends[vid]; end != nil {
+		end()
+	}
+}
+
 func (sit *Site) newProcess(set config.Settings) (prc *entry.Process, cleanup func(), err error) {
 	sto, stopStore, err := kvhttp.New(kvhttp.Config{
 		Address: set.StoreAddress,
