bench: scenarios cost and times

Cause: the cost of an entry VM and the times until drains, edits and crashes take effect had no figures. Change: scenarios cost and times.

--- a/internal/load/bench/bench.go
+++ b/internal/load/bench/bench.go
@@ -43,6 +43,8 @@
 		stragglers(),
 		blocking(),
 		storm(),
+		cost(),
+		times(),
 	}
 }
 
--- a/internal/load/bench/load.go
+++ b/internal/load/bench/load.go
@@ -130,6 +130,8 @@
 	seed     uint64
 	// send makes request num of the stream and returns when it has ended.
 	send func(ctx context.Context, num int) Outcome
+	// also, if set, returns a further recorder for request num.
+	also func(num int) *Recorder
 }
 
 // run sends the requests of a load, waits for all of them and returns what became of them.
@@ -146,7 +148,11 @@
 		}
 		wtg.Go(func() {
 			oct := lod.send(ctx, num)
-			rcd.Add(at, time.Since(began), oct)
+			ended := time.Since(began)
+			rcd.Add(at, ended, oct)
+			if lod.also != nil {
+				lod.also(num).Add(at, ended, oct)
+			}
 		})
 	}
 }
--- a/internal/load/bench/site.go
+++ b/internal/load/bench/site.go
@@ -34,6 +34,8 @@
 	callers map[cardamompass.Region][]*caller.Caller
 	specs   []cardamompass.Target
 	total   int
+	// client makes direct requests.
+	client *http.Client
 }
 
 // group describes the targets of one service in one region.
@@ -90,6 +92,7 @@
 		Site:    dst,
 		callers: make(map[cardamompass.Region][]*caller.Caller),
 		specs:   cfg.Targets,
+		client:  clientFrom(net.IPv4(127, 0, 0, 1)),
 	}
 	if !scf.naive {
 		if err := sit.awaitSteady(); err != nil {
@@ -102,6 +105,7 @@
 		for _, cls := range closes {
 			cls()
 		}
+		sit.client.CloseIdleConnections()
 		stop()
 	}, nil
 }
@@ -163,7 +167,8 @@
 	region  func(num int) cardamompass.Region
 	prefix  string
 	timeout time.Duration
-	// serviceMS is the mean service time; single ones are spread evenly from half to one and a half of it.
+	// serviceMS is the mean service time; single ones are spread evenly from half to one and a half of it. Zero leaves
+	// the service time to the target.
 	serviceMS float64
 	seed      uint64
 }
@@ -174,17 +179,21 @@
 		rng := rand.New(rand.NewPCG(ask.seed, uint64(num)))
 		reg := ask.region(num)
 		clrs := sit.callers[reg]
-		rsp, err := clrs[rng.IntN(len(clrs))].Do(ctx, caller.Request{
+		hdr := http.Header{
+			target.HeaderOperation: {string(reg)},
+		}
+		clr := clrs[rng.IntN(len(clrs))]
+		if ask.serviceMS > 0 {
+			hdr.Set(target.HeaderService, strconv.FormatFloat(ask.serviceMS*(0.5+rng.Float64()), 'f', 2, 64))
+		}
+		rsp, err := clr.Do(ctx, caller.Request{
 			ID:         cardamompass.RequestID(ask.prefix + strconv.Itoa(num)),
 			Service:    ask.service,
 			Method:     http.MethodGet,
 			Path:       "/stock/" + strconv.Itoa(num),
 			Idempotent: true,
 			Timeout:    ask.timeout,
-			Header: http.Header{
-				target.HeaderService:   {strconv.FormatFloat(ask.serviceMS*(0.5+rng.Float64()), 'f', 2, 64)},
-				target.HeaderOperation: {string(reg)},
-			},
+			Header:     hdr,
 		})
 		return outcomeOf(rsp, err)
 	}
