--- a/internal/load/bench/bench.go
+++ b/internal/load/bench/bench.go
@@ -41,6 +41,10 @@
 func Scenarios() []Scenario {
 	return []Scenario{
 		stragglers(),
+		blocking(),
+		storm(),
+		cost(),
+		times(),
 	}
 }
 
