share, engine, health: cut the control cost at the target size

Change: a lease seen alive is not read again for 5 minutes; visits come half as often and in random order; probes fall to 10 a second for each VM in a large fleet; the queue timer runs only while a request waits; loan rounds skip resources without demand; connections are divided when the serving VMs change; 16 rejections are kept; client blocks are kept over other edits.

--- a/internal/edge/engine/engine.go
+++ b/internal/edge/engine/engine.go
@@ -73,6 +73,9 @@
 	attempts atomic.Uint64
 	wtg      sync.WaitGroup
 	naive    naiveState
+	waiting  chan struct{}
+	// divided are the entry VMs among which connections were divided last, guarded by mtx.
+	divided []cardamompass.VMID
 }
 
 // plan is what follows from the catalogue in force.
@@ -108,7 +111,8 @@
 		cfg.QueueLength = defaultQueueLength
 	}
 	eng = &Engine{
-		cfg: cfg,
+		cfg:     cfg,
+		waiting: make(chan struct{}, 1),
 	}
 	eng.plan.Store(&plan{})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -150,7 +154,8 @@
 	eng.mtx.Lock()
 	defer eng.mtx.Unlock()
 	old := eng.plan.Load()
-	if old.cat == nil {
+	// Most changes are suspicions and their refutation, which leave the serving VMs the same.
+	if old.cat == nil || slices.Equal(eng.serving(), eng.divided) {
 		return
 	}
 	targets := eng.subset(old.cat)
@@ -173,12 +178,8 @@
 // in a larger fleet each VM gets a part of them.
 func (eng *Engine) subset(cat *catlg.Catalogue) (targets map[cardamompass.TargetID]cardamompass.Target) {
 	targets = make(map[cardamompass.TargetID]cardamompass.Target)
-	vms := []cardamompass.VMID{eng.cfg.Self.ID}
-	for _, mbr := range eng.cfg.Members.Members() {
-		if mbr.Serving() && mbr.VM.ID != eng.cfg.Self.ID {
-			vms = append(vms, mbr.VM.ID)
-		}
-	}
+	vms := eng.serving()
+	eng.divided = vms
 	for _, svc := range cat.Services() {
 		for _, reg := range cat.Regions() {
 			list := cat.TargetsOf(svc.Name, reg.Name)
@@ -199,6 +200,17 @@
 	return targets
 }
 
+// serving returns the entry VMs that may keep connections to targets, this VM included.
+func (eng *Engine) serving() (vms []cardamompass.VMID) {
+	vms = []cardamompass.VMID{eng.cfg.Self.ID}
+	for _, mbr := range eng.cfg.Members.Members() {
+		if mbr.Serving() && mbr.VM.ID != eng.cfg.Self.ID {
+			vms = append(vms, mbr.VM.ID)
+		}
+	}
+	return vms
+}
+
 func (eng *Engine) service(old *service, svc cardamompass.Service) *service {
 	if old != nil {
 		kept := *old
@@ -310,23 +322,42 @@
 	return waiting
 }
 
+// retryQueues tries the queues while any request waits. It sleeps while none does, because an idle timer of this interval
+// takes more than one percent of a core.
 func (eng *Engine) retryQueues(ctx context.Context) {
 	for {
-		tmr := eng.cfg.Clock.NewTimer(retryQueueInterval)
 		select {
 		case <-ctx.Done():
-			tmr.Stop()
 			return
-		case <-tmr.C():
+		case <-eng.waiting:
 		}
-		for _, sta := range eng.plan.Load().services {
-			if sta.queue.Len() > 0 {
-				sta.queue.ReleasedAll()
+		for busy := true; busy; {
+			tmr := eng.cfg.Clock.NewTimer(retryQueueInterval)
+			select {
+			case <-ctx.Done():
+				tmr.Stop()
+				return
+			case <-tmr.C():
+			}
+			busy = false
+			for _, sta := range eng.plan.Load().services {
+				if sta.queue.Len() > 0 {
+					busy = true
+					sta.queue.ReleasedAll()
+				}
 			}
 		}
 	}
 }
 
+// wakeRetries tells retryQueues that a request begins to wait.
+func (eng *Engine) wakeRetries() {
+	select {
+	case eng.waiting <- struct{}{}:
+	default:
+	}
+}
+
 // near returns the regions that may serve callers of reg, in order of preference, reg itself left out.
 func (pln *plan) near(reg cardamompass.Region) []cardamompass.Region {
 	inf, _ := pln.cat.Region(reg)
--- a/internal/edge/engine/execute.go
+++ b/internal/edge/engine/execute.go
@@ -14,6 +14,9 @@
 	"cardamompass/internal/steer/queue"
 )
 
+// maxRejections bounds the rejected targets that are kept for the dump of one decision.
+const maxRejections = 16
+
 // maxAttempts bounds the attempts of one request, hedges not counted.
 const maxAttempts = 4
 
@@ -116,7 +119,11 @@
 		Fit:      fit,
 	}, func() (claimed bool) {
 		clm, claimed = rqt.tryClaim()
-		return claimed || rqt.refused.Action == guard.Refuse
+		claimed = claimed || rqt.refused.Action == guard.Refuse
+		if !claimed {
+			rqt.eng.wakeRetries()
+		}
+		return claimed
 	})
 	switch {
 	case rqt.refused.Action == guard.Refuse:
@@ -237,7 +244,7 @@
 				Reason: vdt.Reason.String(),
 			})
 		}
-		for _, rej := range rqt.rejected.Rejections {
+		for _, rej := range rqt.rejected.Rejections[:min(len(rqt.rejected.Rejections), maxRejections)] {
 			rec.Rejected = append(rec.Rejected, dump.Verdict{
 				Name:   string(rej.Target),
 				Reason: rej.Reason.String(),
--- a/internal/edge/entry/follow.go
+++ b/internal/edge/entry/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -75,6 +76,7 @@
 			}
 			prc.refreshLookups()
 			prc.engine.MembersChanged()
+			prc.prober.SetFleet(len(prc.members.Members()))
 			prc.prober.SetTargets(prc.engine.Targets())
 		}
 	}
@@ -90,10 +92,14 @@
 		return
 	}
 	cat := catlg.NewCatalogue(dcm.doc)
-	blocks, err := blockTable(cat)
-	if err != nil {
-		prc.cfg.Log.Error("client blocks not usable; the earlier ones stay", zap.Error(err))
-		blocks = old.blocks
+	blocks := old.blocks
+	if old.cat == nil || !sameBlocks(old.cat, cat) {
+		table, err := blockTable(cat)
+		if err != nil {
+			prc.cfg.Log.Error("client blocks not usable; the earlier ones stay", zap.Error(err))
+		} else {
+			blocks = table
+		}
 	}
 	prc.engine.SetCatalogue(cat)
 	prc.prober.SetTargets(prc.engine.Targets())
@@ -107,6 +113,12 @@
 	prc.cfg.Log.Info("catalogue in force", zap.Uint64("version", cat.Version()), zap.Int("targets", len(cat.Targets())))
 }
 
+func sameBlocks(one, two *catlg.Catalogue) bool {
+	return slices.EqualFunc(one.Clients(), two.Clients(), func(cl1, cl2 cardamompass.ClientBlocks) bool {
+		return cl1.Region == cl2.Region && slices.Equal(cl1.Prefixes, cl2.Prefixes)
+	})
+}
+
 func blockTable(cat *catlg.Catalogue) (tbl *lookup.Table, err error) {
 	var blocks []lookup.Block
 	for _, cls := range cat.Clients() {
--- a/internal/fleet/share/pool.go
+++ b/internal/fleet/share/pool.go
@@ -25,12 +25,15 @@
 	// visitBase and visitPerMember give the time between two visits of a ledger, so that the visits of the whole fleet
 	// stay a constant load on the store.
 	visitBase      = 5 * time.Second
-	visitPerMember = 700 * time.Millisecond
+	visitPerMember = 1400 * time.Millisecond
 	// unevenBase and unevenPerMember take their place while units are divided unevenly.
 	unevenBase      = time.Second
 	unevenPerMember = 50 * time.Millisecond
 	// visitTries bounds the tries of one visit that loses its compare-and-swap.
 	visitTries = 5
+	// leaseMemory is the time for which a lease that was seen alive is not asked for again. An owner that died holds its
+	// units for the whole lease anyhow, and one read for each ledger and visit is beyond the store's rate when many died.
+	leaseMemory = 5 * time.Minute
 	// storeTimeout bounds one call of the store.
 	storeTimeout = 3 * time.Second
 )
@@ -67,6 +70,8 @@
 	// visiting admits one visit at a time: concurrent visits of one ledger would race on the units held.
 	visiting sync.Mutex
 	started  time.Time
+	// leasesAlive tells until when a lease of another owner is taken for alive, guarded by visiting.
+	leasesAlive map[cardamompass.LeaseID]time.Time
 	// due are the ledgers to be visited at dueTime, guarded by mtx; soon tells that there are any.
 	due     map[string]bool
 	dueTime time.Time
@@ -89,7 +94,9 @@
 		wake:    make(chan struct{}, 1),
 		started: cfg.Clock.Now(),
 		due:     make(map[string]bool),
-		soon:    make(chan struct{}, 1),
+
+		leasesAlive: make(map[cardamompass.LeaseID]time.Time),
+		soon:        make(chan struct{}, 1),
 	}
 	pol.lease.Store(&heldLease{})
 	return pol
@@ -278,6 +285,8 @@
 		pol.cfg.Log.Warn("share lease not renewed", zap.Error(err), zap.Time("ends", pol.leaseEnds()))
 		return
 	}
+	pol.forgetLeases()
+	pol.shuffle(len(names), func(one, two int) { names[one], names[two] = names[two], names[one] })
 	for _, name := range names {
 		if ctx.Err() != nil {
 			return
@@ -288,6 +297,13 @@
 	}
 }
 
+// shuffle puts count things in random order. Many VMs that visit the ledgers in the same order race for the same one.
+func (pol *Pool) shuffle(count int, swap func(one, two int)) {
+	for num := count - 1; num > 0; num-- {
+		swap(num, int(pol.cfg.Random(int64(num+1))))
+	}
+}
+
 // keepLease grants a lease, or renews the one held when a sixth of its time has passed. The end of the lease is counted
 // from before the call, since the store may have counted from any later moment.
 func (pol *Pool) keepLease(ctx context.Context) (err error) {
--- a/internal/fleet/share/service.go
+++ b/internal/fleet/share/service.go
@@ -131,18 +131,24 @@
 	if pol.leaving.Load() {
 		return
 	}
+	var busy []string
+	for _, name := range pol.names() {
+		if pol.cell(name).busy(pol.cfg.Clock.Now()) {
+			busy = append(busy, name)
+		}
+	}
+	if len(busy) == 0 {
+		return
+	}
 	var peers []cardamompass.VM
 	for _, mbr := range pol.cfg.Members.Members() {
 		if mbr.State == cardamompass.StateAlive && mbr.VM.ID != pol.cfg.Owner.VM {
 			peers = append(peers, mbr.VM)
 		}
 	}
-	for num := len(peers) - 1; num > 0; num-- {
-		oth := pol.cfg.Random(int64(num + 1))
-		peers[num], peers[oth] = peers[oth], peers[num]
-	}
+	pol.shuffle(len(peers), func(one, two int) { peers[one], peers[two] = peers[two], peers[one] })
 	var wtg sync.WaitGroup
-	for _, name := range pol.names() {
+	for _, name := range busy {
 		cel := pol.cell(name)
 		for _, ask := range pol.asks(cel, peers) {
 			wtg.Go(func() { pol.borrow(ctx, name, cel, ask) })
@@ -151,6 +157,13 @@
 	wtg.Wait()
 }
 
+// busy reports whether a round has anything to do: units are lacking, borrowed or to be returned.
+func (cel *cell) busy(now time.Time) bool {
+	cel.mtx.Lock()
+	defer cel.mtx.Unlock()
+	return cel.short(now) || len(cel.borrowed) > 0 || len(cel.ended) > 0
+}
+
 // ask is one request for a loan, or a return of ended ones when want is 0.
 type ask struct {
 	peer cardamompass.VM
--- a/internal/fleet/share/visit.go
+++ b/internal/fleet/share/visit.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -12,6 +13,9 @@
 	"cardamompass"
 )
 
+// leaseMemoryPart bounds leaseMemory to a part of short leases.
+const leaseMemoryPart = 12
+
 func (pol *Pool) key(name string) string { return pol.cfg.KeyPrefix + name }
 
 // visitLedger moves this incarnation's units of one resource towards an equal part.
@@ -183,6 +187,9 @@
 		if ent.same(pol.cfg.Owner) || serving[party{vm: ent.VM, incarnation: ent.Incarnation}] {
 			continue
 		}
+		if _, ok := pol.leasesAlive[ent.Lease]; ok {
+			continue
+		}
 		_, err := pol.cfg.Store.Inspect(ctx, ent.Lease)
 		var nfd *cardamompass.NotFoundError
 		switch {
@@ -190,11 +197,19 @@
 			gone[ent.Owner] = true
 		case err != nil:
 			return nil, err
+		default:
+			pol.leasesAlive[ent.Lease] = pol.cfg.Clock.Now().Add(min(leaseMemory, pol.cfg.LeaseTTL/leaseMemoryPart))
 		}
 	}
 	return gone, nil
 }
 
+// forgetLeases drops what is known of leases for too long.
+func (pol *Pool) forgetLeases() {
+	now := pol.cfg.Clock.Now()
+	maps.DeleteFunc(pol.leasesAlive, func(_ cardamompass.LeaseID, until time.Time) bool { return !now.Before(until) })
+}
+
 // releaseLedger takes this incarnation's entry out of one ledger, or lowers it to what is still lent or in use.
 func (pol *Pool) releaseLedger(ctx context.Context, name string) (kept bool, err error) {
 	cel := pol.cell(name)
--- a/internal/steer/health/probe.go
+++ b/internal/steer/health/probe.go
@@ -21,6 +21,10 @@
 	DefaultProbeTimeout = 500 * time.Millisecond
 	// DefaultProbesPerSecond bounds the probes of one VM. A larger number of targets lengthens the interval.
 	DefaultProbesPerSecond = 40
+	// MinProbesPerSecond is the rate of one VM in a large fleet: 463 bytes a probe are 4.6 KB/s.
+	MinProbesPerSecond = 10
+	// fleetProbesPerSecond is the rate of the whole fleet up to which each VM probes at the full rate.
+	fleetProbesPerSecond = 400
 	// probeJitter is the part of the interval by which it varies, so that the VMs do not probe in step.
 	probeJitter = 0.2
 	// maxProbeBytes bounds what is read of a probe's answer.
@@ -46,10 +50,11 @@
 	cfg ProberConfig
 	wtg sync.WaitGroup
 
-	mut   sync.Mutex
-	off   bool
-	stops map[cardamompass.TargetID]context.CancelFunc
-	addrs map[cardamompass.TargetID]string
+	mut       sync.Mutex
+	off       bool
+	perSecond int
+	stops     map[cardamompass.TargetID]context.CancelFunc
+	addrs     map[cardamompass.TargetID]string
 }
 
 // NewProber returns a prober without targets, and a function that stops it and waits for its goroutines.
@@ -67,9 +72,10 @@
 		cfg.Random = rand.Float64
 	}
 	prb = &Prober{
-		cfg:   cfg,
-		stops: make(map[cardamompass.TargetID]context.CancelFunc),
-		addrs: make(map[cardamompass.TargetID]string),
+		cfg:       cfg,
+		perSecond: cfg.PerSecond,
+		stops:     make(map[cardamompass.TargetID]context.CancelFunc),
+		addrs:     make(map[cardamompass.TargetID]string),
 	}
 	return prb, prb.stop
 }
@@ -84,6 +90,14 @@
 	prb.wtg.Wait()
 }
 
+// SetFleet tells the number of entry VMs. Beyond ten of them each VM probes less often, since a VM tells others what it finds, down
+// to MinProbesPerSecond, which takes half of the 10 KB/s that a VM may spend on control.
+func (prb *Prober) SetFleet(members int) {
+	prb.mut.Lock()
+	defer prb.mut.Unlock()
+	prb.perSecond = min(prb.cfg.PerSecond, max(MinProbesPerSecond, fleetProbesPerSecond/max(1, members)))
+}
+
 // SetTargets replaces the probed targets. In a large fleet these are the VM's own subset. It has no effect after the
 // prober was stopped.
 func (prb *Prober) SetTargets(tgts []cardamompass.Target) {
@@ -138,7 +152,7 @@
 func (prb *Prober) interval() (itv time.Duration) {
 	prb.mut.Lock()
 	defer prb.mut.Unlock()
-	return max(prb.cfg.Interval, time.Duration(len(prb.stops))*time.Second/time.Duration(prb.cfg.PerSecond))
+	return max(prb.cfg.Interval, time.Duration(len(prb.stops))*time.Second/time.Duration(prb.perSecond))
 }
 
 // probe asks once for health and load. The state counts whatever the status, since a target that drains may answer
