share: lend small unused parts of a rate as a whole

Cause: at 7 VMs a shift cap of 120 requests/s gives parts of 17. A lender offered half, 8, and offers below the least 10 units are refused, so gulf's callers never got more than the parts of the two gulf VMs that were left. Change: a part below twice the least units that is not used is lent as a whole.

--- a/internal/fleet/share/cell.go
+++ b/internal/fleet/share/cell.go
@@ -94,13 +94,25 @@
 		lacking := max(0, cel.wants(now, leaseEnds)-cel.usable(now, leaseEnds))
 		want = min(want, max(0, have-lacking))
 	}
-	offer := min(want, have+(cel.spare(now, leaseEnds)+1)/2)
+	offer := cel.offer(want, have, now, leaseEnds)
 	if offer < cel.res.minUnits() {
 		return 0
 	}
 	return offer
 }
 
+// offer returns how many units to lend to a borrower that has some already: half of the spare ones at most. A small part of a
+// rate that is not used is lent as a whole, since its half is too little to be lent and so is the remainder.
+func (cel *cell) offer(want, have int64, now, leaseEnds time.Time) int64 {
+	spare := cel.spare(now, leaseEnds)
+	offer := min(want, have+(spare+1)/2)
+	small := cel.res.Kind == KindRate && spare < 2*cel.res.minUnits() && cel.use.perSecond(now) == 0
+	if small && want > have {
+		return have + spare
+	}
+	return offer
+}
+
 // tryRate takes num units of a rate, from the part of the long class as well if long is set.
 func (cel *cell) tryRate(num int, long bool, now, leaseEnds time.Time) bool {
 	usable := cel.usable(now, leaseEnds)
