share: keep the short class's part of a link when lending

Cause: with downloads on the link, every delta VM had lent all of its link units to gulf VMs; its checks waited for the 0.5 KB of a request until their deadline ('no link units before the deadline') and then held slots meanwhile. Change: the part of a rate that long work may not use (100 - long-percent) is not lent.

bench: the naive column of the dead target is left out, because the baseline records no attempts.

--- a/internal/fleet/share/cell.go
+++ b/internal/fleet/share/cell.go
@@ -60,15 +60,24 @@
 	return max(0, cel.own(now, leaseEnds)+cel.borrowed.total(cel.res.Capacity, now))
 }
 
-// spare returns the units that this VM does not need itself.
+// spare returns the units that this VM does not need itself. The part of a rate that long work may not use is not lent: short
+// work that comes later would wait for the end of a loan that serves long work elsewhere.
 func (cel *cell) spare(now, leaseEnds time.Time) int64 {
 	used := cel.inUse
 	if cel.res.Kind == KindRate {
-		used = cel.use.perSecond(now) * 100 / usedPercent
+		used = max(cel.use.perSecond(now)*100/usedPercent, cel.reserve())
 	}
 	return max(0, cel.own(now, leaseEnds)-used)
 }
 
+// reserve returns the units of a rate that are kept for short work.
+func (cel *cell) reserve() int64 {
+	if cel.res.LongPercent == 0 {
+		return 0
+	}
+	return scale(cel.units, cel.res.Capacity, cel.basis) * int64(100-cel.res.LongPercent) / 100
+}
+
 // short reports whether a use was refused or delayed within the last second.
 func (cel *cell) short(now time.Time) bool {
 	return !cel.shortAt.IsZero() && now.Sub(cel.shortAt) < demandTime
--- a/internal/load/bench/times.go
+++ b/internal/load/bench/times.go
@@ -57,23 +57,44 @@
 	}{
 		{name: "drain until no new work", naive: naive.drain, current: current.drain, limit: 3000},
 		{name: "edit until in force at all entry VMs", naive: naive.edit, current: current.edit, limit: 1000},
-		{name: "dead target until left alone", naive: naive.dead, current: current.dead},
+		{name: "dead target until left alone", current: current.dead},
 	} {
-		one, two := summarize(row.naive), summarize(row.current)
-		pts = append(pts,
-			both(row.name+", median", "ms", one.Median, two.Median),
-			both(row.name+", lowest", "ms", one.Low, two.Low))
-		high := both(row.name+", highest", "ms", one.High, two.High)
-		if row.limit > 0 {
-			high = high.atMost(row.limit)
-		}
-		pts = append(pts, high)
+		pts = append(pts, triple(row.name, row.naive, row.current, row.limit)...)
 	}
 	return append(pts,
 		both("tries of each", "", float64(len(naive.edit)), float64(len(current.edit))),
 		both("answered during all tries", "%", naive.rcd.success(0, 0), current.rcd.success(0, 0))), nil
 }
 
+// triple returns median, lowest and highest value of the tries. The naive ones are left out when there are none: the baseline
+// records no attempts, so that the last request to a dead target is not known.
+func triple(name string, naive, current []float64, limit float64) (pts []Point) {
+	one, two := summarize(naive), summarize(current)
+	for _, row := range []struct {
+		name string
+		of   func(sum *Summary) *float64
+	}{
+		{name: ", median", of: func(sum *Summary) *float64 { return &sum.Median }},
+		{name: ", lowest", of: func(sum *Summary) *float64 { return &sum.Low }},
+		{name: ", highest", of: func(sum *Summary) *float64 { return &sum.High }},
+	} {
+		pnt := Point{
+			Measure: name + row.name,
+			Unit:    "ms",
+			Current: row.of(two),
+		}
+		if one != nil {
+			pnt.Naive = row.of(one)
+		}
+		pts = append(pts, pnt)
+	}
+	if limit > 0 {
+		last := len(pts) - 1
+		pts[last] = pts[last].atMost(limit)
+	}
+	return pts
+}
+
 func timesOn(ctx context.Context, cfg Config, naive bool) (res timesResult, err error) {
 	sit, cleanup, err := newSite(siteConfig{
 		vms: places(gulf, 7),
