--- a/internal/fleet/share/cell.go
+++ b/internal/fleet/share/cell.go
@@ -63,15 +63,24 @@
 	return max(0, cel.own(now, leaseEnds)+cel.borrowed.total(cel.res.Capacity, now))
 }
 
-// spare returns the units that this VM does not need itself.
+// spare returns the units that this VM does not need itself. The part of a rate that long work may not use is not lent: short
+// work that comes later would wait for the end of a loan that serves long work elsewhere.
 func (cel *cell) spare(now, leaseEnds time.Time) int64 {
 	used := cel.inUse
 	if cel.res.Kind == KindRate {
-		used = cel.use.perSecond(now) * 100 / usedPercent
+		used = max(cel.use.perSecond(now)*100/usedPercent, cel.reserve())
 	}
 	return max(0, cel.own(now, leaseEnds)-used)
 }
 
+// reserve returns the units of a rate that are kept for short work.
+func (cel *cell) reserve() int64 {
+	if cel.res.LongPercent == 0 {
+		return 0
+	}
+	return scale(cel.units, cel.res.Capacity, cel.basis) * int64(100-cel.res.LongPercent) / 100
+}
+
 // short reports whether a use was refused or delayed within the last second.
 func (cel *cell) short(now time.Time) bool {
 	return !cel.shortAt.IsZero() && now.Sub(cel.shortAt) < demandTime
@@ -97,13 +106,25 @@
 		lacking := max(0, cel.wants(now, leaseEnds)-cel.usable(now, leaseEnds))
 		want = min(want, max(0, have-lacking))
 	}
-	offer := min(want, have+(cel.spare(now, leaseEnds)+1)/2)
+	offer := cel.offer(want, have, now, leaseEnds)
 	if offer < cel.res.minUnits() {
 		return 0
 	}
 	return offer
 }
 
+// offer returns how many units to lend to a borrower that has some already: half of the spare ones at most. A small part of a
+// rate that is not used is lent as a whole, since its half is too little to be lent and so is the remainder.
+func (cel *cell) offer(want, have int64, now, leaseEnds time.Time) int64 {
+	spare := cel.spare(now, leaseEnds)
+	offer := min(want, have+(spare+1)/2)
+	small := cel.res.Kind == KindRate && spare < 2*cel.res.minUnits() && cel.use.perSecond(now) == 0
+	if small && want > have {
+		return have + spare
+	}
+	return offer
+}
+
 // tryRate takes num units of a rate, from the part of the long class as well if long is set.
 func (cel *cell) tryRate(num int, long bool, now, leaseEnds time.Time) bool {
 	usable := cel.usable(now, leaseEnds)
