entry: tell look-ups of the regions before the engine admits requests

Cause: a process that puts its first catalogue in force set the engine's catalogue before the look-ups' view. A request in between was refused as invalid ("region: is not in the catalogue"), which callers don't send again. Ruled out: an edit that removes the region (the test makes none), and a wrong region of the caller (the same caller was answered before and after). Change: putInForce stores the catalogue and refreshes look-ups first.

--- a/internal/edge/entry/follow.go
+++ b/internal/edge/entry/follow.go
@@ -90,14 +90,15 @@
 		prc.cfg.Log.Error("client blocks not usable; the earlier ones stay", zap.Error(err))
 		blocks = old.blocks
 	}
-	prc.engine.SetCatalogue(cat)
-	prc.prober.SetTargets(cat.Targets())
 	prc.inForce.Store(&inForce{
 		cat:    cat,
 		since:  prc.cfg.Clock.Now(),
 		blocks: blocks,
 	})
+	// Look-ups know the regions before the engine admits requests, which would otherwise be refused as invalid.
 	prc.refreshLookups()
+	prc.engine.SetCatalogue(cat)
+	prc.prober.SetTargets(cat.Targets())
 	prc.metrics.Scope().Gauge("catalogue-version").Update(float64(cat.Version()))
 	prc.cfg.Log.Info("catalogue in force", zap.Uint64("version", cat.Version()), zap.Int("targets", len(cat.Targets())))
 }
