entry: no certain refusal of a later sending before its home is asked

Cause: an entry VM without a catalogue refused every request as not-run before it looked at the ticket. For a second sending of an operation this is not known: the first may have run at its home. Ruled out: late copies at the home (a record covers all lower attempt counts), the forwarder's own refusals (not-run for a first attempt only), answers of a target with another id (dropped as unknown). Change: handleRequest turns such a refusal of a non-idempotent sending that is not declared as the first into an unknown outcome. Conclusion: fixed for refusals as not-run. A refusal as invalid by an entry VM with an older catalogue is not covered by this change.

--- a/internal/edge/entry/caller.go
+++ b/internal/edge/entry/caller.go
@@ -137,7 +137,7 @@
 func (prc *Process) handleRequest(rsw http.ResponseWriter, rqs *http.Request) {
 	req, err := prc.readRequest(rqs)
 	if err != nil {
-		prc.refuse(rsw, req.ID, err)
+		prc.refuse(rsw, req.ID, uncertain(rqs, err))
 		return
 	}
 	ctl := http.NewResponseController(rsw)
--- a/internal/edge/entry/request.go
+++ b/internal/edge/entry/request.go
@@ -53,6 +53,19 @@
 	return req, err
 }
 
+// uncertain returns the error for a sending that was refused before the operation's home was asked. An earlier sending may
+// have run there, so only a declared first one is certainly not run. This sending of an idempotent request is not run.
+func uncertain(rqs *http.Request, err error) error {
+	var nrn *cardamompass.NotRunError
+	if !errors.As(err, &nrn) || rqs.Header.Get(cardamompass.HeaderIdempotent) != "false" ||
+		rqs.Header.Get(cardamompass.HeaderAttempt) == "1" {
+		return err
+	}
+	return &cardamompass.UnknownOutcomeError{
+		Reason: nrn.Reason + "; an earlier sending may have run",
+	}
+}
+
 func checkID(rid cardamompass.RequestID) (err error) {
 	inv := &cardamompass.InvalidError{
 		Field:  cardamompass.HeaderRequestID,
