share: hold a lowered cap for loans too

Cause: a lender renewed the units that it had lent under the earlier cap and named the new cap with them, so that the borrower no longer scaled them down; a cap of 0 was taken for an unknown one and not scaled at all; a VM that owns nothing counted as needing its loans without any use. Change: a grant keeps the cap that its units are parts of, a renewal offers at most the scaled units, nothing is usable under a cap of 0, and a loan is renewed only while something is used. Ruled out: deducting the scaled units at the lender, since the borrower may not have the lower cap yet.

--- a/internal/fleet/share/cell.go
+++ b/internal/fleet/share/cell.go
@@ -101,7 +101,7 @@
 
 // answerBorrow decides how many units a borrower may use from now on, in place of what it has borrowed before.
 func (cel *cell) answerBorrow(pty party, want int64, now, leaseEnds time.Time) int64 {
-	have := cel.lent.to(pty, now)
+	have := cel.lent.scaledTo(pty, cel.res.Capacity, now)
 	if cel.short(now) {
 		lacking := max(0, cel.wants(now, leaseEnds)-cel.usable(now, leaseEnds))
 		want = min(want, max(0, have-lacking))
--- a/internal/fleet/share/loan.go
+++ b/internal/fleet/share/loan.go
@@ -24,6 +24,8 @@
 type lending struct {
 	sequence uint64
 	units    int64
+	// capacity is the cap that the units are parts of.
+	capacity int64
 	ends     time.Time
 }
 
@@ -39,7 +41,8 @@
 	}
 }
 
-// to returns the units that pty may be using.
+// to returns the units that pty may be using, deducted in full even if the cap was lowered since: the borrower may not have
+// the lower cap yet.
 func (lbk lentBook) to(pty party, now time.Time) (units int64) {
 	for _, lnd := range lbk.grants[pty] {
 		if now.Before(lnd.ends) {
@@ -49,6 +52,16 @@
 	return units
 }
 
+// scaledTo returns the units that pty has as parts of capacity, which a renewed loan may keep.
+func (lbk lentBook) scaledTo(pty party, capacity int64, now time.Time) (units int64) {
+	for _, lnd := range lbk.grants[pty] {
+		if now.Before(lnd.ends) {
+			units = max(units, scale(lnd.units, capacity, lnd.capacity))
+		}
+	}
+	return units
+}
+
 // total returns the units that all borrowers together may be using.
 func (lbk lentBook) total(now time.Time) (units int64) {
 	for pty := range lbk.grants {
@@ -116,7 +129,10 @@
 
 // scale returns units of a capacity of basis as units of capacity, if that is smaller.
 func scale(units, capacity, basis int64) int64 {
-	if basis <= capacity || basis == 0 {
+	if capacity <= 0 {
+		return 0
+	}
+	if basis <= capacity {
 		return units
 	}
 	return int64(float64(units) * float64(capacity) / float64(basis))
--- a/internal/fleet/share/service.go
+++ b/internal/fleet/share/service.go
@@ -90,6 +90,7 @@
 		cel.lent.grant(pty, lending{
 			sequence: args.Sequence,
 			units:    units,
+			capacity: cel.res.Capacity,
 			ends:     ends,
 		}, now)
 	}
@@ -237,10 +238,11 @@
 
 // needed reports whether more than the own units is in use.
 func (cel *cell) needed(now, leaseEnds time.Time) bool {
-	if cel.res.Kind == KindSlots {
-		return cel.inUse >= cel.own(now, leaseEnds)
+	used := cel.inUse
+	if cel.res.Kind == KindRate {
+		used = cel.use.perSecond(now) * 100 / usedPercent
 	}
-	return cel.use.perSecond(now)*100/usedPercent >= cel.own(now, leaseEnds)
+	return used > 0 && used >= cel.own(now, leaseEnds)
 }
 
 // borrow makes one call and applies its answer.
