catlg: put edits in force that a restored store accepts

Cause: after a restoration to an older state the store gives out version numbers again. An edit made then lost against an earlier edit of the same entry with a higher version, though the store had accepted it later; and a watch for a later revision noticed the restoration only after 30 s. Change: an edit whose version is known under another edit id is moved to the front before the merge; a watch of the catalogue lasts 500 ms. Not covered: a VM that starts from the restored store before any watcher has read it, and edits further back than the last 64.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -37,6 +37,10 @@
 	CatalogueKey = "catalogue"
 	// ledgerPrefix is put before the names of resources to form the keys of their ledgers.
 	ledgerPrefix = "share/"
+	// watchWait bounds one watch of the catalogue. A store that was restored to an older state answers a watch for a later
+	// revision only at its end, and what it accepts then has to be in force within a second. Three watchers make about
+	// four calls a second.
+	watchWait = 500 * time.Millisecond
 	// recentDecisions is the number of decisions kept for the dump.
 	recentDecisions = 4096
 )
@@ -225,6 +229,7 @@
 			RandomSeed: prc.started.UnixNano(),
 			Watchers:   set.Spread.Watchers,
 			Fanout:     set.Spread.PushFanout,
+			WatchWait:  watchWait,
 		},
 		Store:   prc.cfg.Store,
 		Caller:  prc.client,
--- a/internal/edge/entry/follow.go
+++ b/internal/edge/entry/follow.go
@@ -39,6 +39,12 @@
 	}
 }
 
+func (dcm document) Adopt(stored document) document {
+	return document{
+		doc: catlg.Adopt(dcm.doc, stored.doc),
+	}
+}
+
 func documentCodec() spread.Codec[document] {
 	return spread.Codec[document]{
 		Encode: func(dcm document) ([]byte, error) { return catlg.Marshal(dcm.doc) },
--- a/internal/fleet/spread/doc.go
+++ b/internal/fleet/spread/doc.go
@@ -39,6 +39,12 @@
 	Delta(since int64) (part D)
 }
 
+// Adopter is a Doc that can tell which edits the store accepted after it was restored to an older state.
+type Adopter[D any] interface {
+	// Adopt returns the stored document, changed so that such edits win in a merge with the receiver.
+	Adopt(stored D) (adopted D)
+}
+
 // Codec converts documents to and from the form in which the store and messages carry them.
 type Codec[D any] struct {
 	// Encode returns the encoded document.
--- a/internal/fleet/spread/source.go
+++ b/internal/fleet/spread/source.go
@@ -151,6 +151,9 @@
 		return false
 	}
 	cor.src.hash, cor.src.digest = hash, doc.Digest()
+	if adp, ok := any(cor.doc).(Adopter[D]); ok && cor.sum.Version > 0 {
+		doc = adp.Adopt(doc)
+	}
 	cor.learn(doc)
 	return true
 }
