engine: try a target again when each one has failed the request

Cause: a target that failed an attempt was excluded for the rest of the request, so that an idempotent request whose two targets failed it once each waited in the queue until its deadline and ended as unknown. Change: targets that were tried come back when there is no other; hedges still go elsewhere. Measured (TestAttempts): before, 'unknown' after 5 s for an idempotent request with two targets that fail once; after, answered with the third run. An operation still runs once.

--- a/internal/edge/engine/claim.go
+++ b/internal/edge/engine/claim.go
@@ -40,8 +40,16 @@
 	rejected   route.Decision
 }
 
-// tryClaim claims a target for the next attempt, in the caller's region first. It does not block.
+// tryClaim claims a target for the next attempt, one that was not tried yet if there is one. It does not block.
 func (rqt *request) tryClaim() (clm *claim, ok bool) {
+	if clm, ok = rqt.claimBut(rqt.tried); ok || len(rqt.tried) == 0 || rqt.refused.Action == guard.Refuse {
+		return clm, ok
+	}
+	return rqt.claimBut(nil)
+}
+
+// claimBut claims a target that is not excluded, in the caller's region first.
+func (rqt *request) claimBut(exclude []cardamompass.TargetID) (clm *claim, ok bool) {
 	eng, sta := rqt.eng, rqt.sta
 	now := eng.cfg.Clock.Now()
 	scr := sta.spares.Get().(*scratch)
@@ -51,7 +59,7 @@
 	scr.snp.Regions = append(scr.snp.Regions[:0], rqt.regionState(rqt.req.CallerRegion, now))
 	ask := route.Request{
 		CallerRegion: rqt.req.CallerRegion,
-		Exclude:      rqt.tried,
+		Exclude:      exclude,
 	}
 	scr.dec = route.Decide(&scr.snp, &ask, scr.dec)
 	if clm, ok = rqt.take(&scr.dec, now); ok {
@@ -110,7 +118,7 @@
 	for num := range dec.Candidates {
 		cnd := &dec.Candidates[num]
 		tgt, ok := rqt.pln.target(cnd.Target)
-		if !ok || excludes(rqt.tried, cnd.Target) {
+		if !ok {
 			continue
 		}
 		release, ok := rqt.eng.cfg.Pool.Slots(share.SlotsName(rqt.req.Service, cnd.Region)).TryAcquire()
--- /dev/null
+++ b/internal/edge/engine/engine_test.go
@@ -0,0 +1,275 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"cardamompass"
+	"cardamompass/internal/conf/catlg"
+	"cardamompass/internal/edge/dump"
+	"cardamompass/internal/edge/engine"
+	"cardamompass/internal/edge/relay"
+	"cardamompass/internal/fleet/share"
+	"cardamompass/internal/plat/kvhttp"
+	"cardamompass/internal/stand/ctrl"
+	"cardamompass/internal/stand/kvsrv"
+	"cardamompass/internal/stand/target"
+	"cardamompass/internal/steer/guard"
+	"cardamompass/internal/steer/health"
+)
+
+// alone is a membership of one VM.
+type alone struct{ mbr cardamompass.Member }
+
+func (aln alone) Self() cardamompass.Member { return aln.mbr }
+
+func (aln alone) Members() []cardamompass.Member { return []cardamompass.Member{aln.mbr} }
+
+// bed is an engine with stand-ins of targets in one region.
+type bed struct {
+	eng     *engine.Engine
+	targets []*target.Target
+	recent  *dump.Recent
+	class   cardamompass.Class
+}
+
+func newBed(t *testing.T, class cardamompass.Class, slots ...int) *bed {
+	t.Helper()
+	bed := &bed{
+		recent: dump.NewRecent(16),
+		class:  class,
+	}
+	doc := catlg.Empty()
+	put := func(ent catlg.Entry, err error) {
+		if err != nil {
+			t.Fatal(err)
+		}
+		doc = doc.WithEntry(ent)
+	}
+	put(catlg.NewEntry("region/gulf", "o", cardamompass.RegionInfo{
+		Name:           "gulf",
+		FailureDomains: []cardamompass.FailureDomain{"a"},
+	}))
+	put(catlg.NewEntry("service/svc", "o", cardamompass.Service{
+		Name:         "svc",
+		Class:        class,
+		MaxTimeout:   10 * time.Second,
+		MaxBodyBytes: 1 << 10,
+		QueueLength:  16,
+	}))
+	for num, count := range slots {
+		tgt, stop, err := target.New(target.Config{
+			Address: "127.0.0.1:0",
+			Slots:   count,
+			Behaviour: target.Behaviour{
+				WhenFull: target.Shed,
+			},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(stop)
+		bed.targets = append(bed.targets, tgt)
+		tid := cardamompass.TargetID(fmt.Sprint("t", num))
+		put(catlg.NewEntry(catlg.TargetEntry(tid), "o", cardamompass.Target{
+			ID:            tid,
+			Service:       "svc",
+			Region:        "gulf",
+			FailureDomain: "a",
+			Address:       tgt.Address(),
+			Slots:         count,
+			Connections:   100,
+		}))
+	}
+	bed.eng = newEngine(t, bed.recent)
+	bed.eng.SetCatalogue(catlg.NewCatalogue(doc))
+	return bed
+}
+
+func newEngine(t *testing.T, recent *dump.Recent) *engine.Engine {
+	t.Helper()
+	self := cardamompass.VM{
+		ID:          "vm-1",
+		Incarnation: 1,
+		Region:      "gulf",
+	}
+	members := alone{
+		mbr: cardamompass.Member{
+			VM: self,
+		},
+	}
+	srv, stop, err := kvsrv.New(kvsrv.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	address, stop, err := ctrl.Serve("127.0.0.1:0", srv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	sto, stop, err := kvhttp.New(kvhttp.Config{
+		Address: address,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	pol := share.New(share.Config{
+		Owner: share.Owner{
+			VM:          self.ID,
+			Incarnation: self.Incarnation,
+		},
+		Store:    sto,
+		Members:  members,
+		Clock:    cardamompass.SystemClock{},
+		Log:      zap.NewNop(),
+		LeaseTTL: time.Hour,
+		LoanTTL:  time.Second,
+	})
+	t.Cleanup(pol.Start())
+	rly, stop, err := relay.New(relay.Config{
+		Clock: cardamompass.SystemClock{},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	eng, stop := engine.New(engine.Config{
+		Self:         self,
+		Clock:        cardamompass.SystemClock{},
+		Log:          zap.NewNop(),
+		Scope:        tally.NoopScope,
+		Relay:        rly,
+		Tracker:      health.New(health.Config{Self: self.ID}),
+		Guard:        guard.New(guard.Config{Self: self.ID, Incarnation: 1}),
+		Pool:         pol,
+		Report:       func(context.Context, guard.Report) {},
+		Recent:       recent,
+		Members:      members,
+		HedgePercent: 3,
+		RetryPercent: 10,
+	})
+	t.Cleanup(stop)
+	return eng
+}
+
+func (bed *bed) execute(t *testing.T, rid string, idempotent bool, timeout time.Duration, header http.Header) (cardamompass.Answer, error) {
+	t.Helper()
+	return bed.eng.Execute(t.Context(), cardamompass.Request{
+		ID:           cardamompass.RequestID(rid),
+		Service:      "svc",
+		Method:       http.MethodPost,
+		Path:         "/" + rid,
+		Header:       header,
+		Idempotent:   idempotent,
+		CallerRegion: "gulf",
+		Deadline:     time.Now().Add(timeout),
+	})
+}
+
+func (bed *bed) runs() (total int) {
+	for _, tgt := range bed.targets {
+		total += tgt.Runs().Total
+	}
+	return total
+}
+
+// Guards against a second attempt of an operation that may have run, and against an idempotent request that is given up because
+// each target failed it once.
+func TestAttempts(t *testing.T) {
+	tests := []struct {
+		name       string
+		fault      target.Fault
+		idempotent bool
+		want       cardamompass.Outcome
+		runs       int
+	}{
+		{name: "operation with a cut answer", fault: target.FaultTruncated, want: cardamompass.OutcomeUnknown, runs: 1},
+		{name: "operation with another's answer", fault: target.FaultOtherID, want: cardamompass.OutcomeUnknown, runs: 1},
+		{name: "look-up with a cut answer", fault: target.FaultTruncated, idempotent: true, want: cardamompass.OutcomeAnswered, runs: 3},
+		{name: "look-up with another's answer", fault: target.FaultOtherID, idempotent: true, want: cardamompass.OutcomeAnswered, runs: 3},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			bed := newBed(t, cardamompass.ClassShort, 2, 2)
+			for _, tgt := range bed.targets {
+				tgt.FailAnswers(tst.fault, 1)
+			}
+			ans, err := bed.execute(t, "r", tst.idempotent, 5*time.Second, nil)
+			if got := engine.OutcomeOf(err); got != tst.want {
+				t.Fatalf("outcome %s (%v), want %s", got, err, tst.want)
+			}
+			if err == nil {
+				_ = ans.Body.Close()
+			}
+			if bed.runs() != tst.runs {
+				t.Fatalf("ran %d times, want %d", bed.runs(), tst.runs)
+			}
+		})
+	}
+}
+
+// Guards against an operation that is given up, or reported as unknown, because the first target shed it.
+func TestShedOperationRunsElsewhere(t *testing.T) {
+	bed := newBed(t, cardamompass.ClassShort, 1, 1)
+	bed.targets[0].SetDraining(true)
+	for num := range 4 {
+		ans, err := bed.execute(t, fmt.Sprint("r", num), false, 5*time.Second, nil)
+		if err != nil {
+			t.Fatalf("operation %d: %v", num, err)
+		}
+		_ = ans.Body.Close()
+	}
+	if ran := bed.targets[1].Runs().Total; ran != 4 {
+		t.Fatalf("the serving target ran %d operations, want 4", ran)
+	}
+}
+
+// Guards against a slot that is given back while a long answer is still being read, and against one that is never given back.
+func TestLongAnswerHoldsItsSlot(t *testing.T) {
+	bed := newBed(t, cardamompass.ClassLong, 1)
+	header := http.Header{
+		target.HeaderAnswerBytes: {fmt.Sprint(4 << 20)},
+	}
+	first, err := bed.execute(t, "first", true, 9*time.Second, header)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = bed.execute(t, "second", true, 100*time.Millisecond, nil)
+	if got := engine.OutcomeOf(err); got != cardamompass.OutcomeNotRun {
+		t.Fatalf("second request while the slot is held: outcome %s (%v), want not-run", got, err)
+	}
+	if size, err := io.Copy(io.Discard, first.Body); err != nil || size != 4<<20 {
+		t.Fatalf("read %d bytes: %v", size, err)
+	}
+	_ = first.Body.Close()
+	ans, err := bed.execute(t, "third", true, 5*time.Second, nil)
+	if err != nil {
+		t.Fatalf("request after the slot is free: %v", err)
+	}
+	_ = ans.Body.Close()
+}
+
+// Guards against a decision that can't be explained afterwards.
+func TestDecisionIsKept(t *testing.T) {
+	bed := newBed(t, cardamompass.ClassShort, 1)
+	bed.targets[0].SetDraining(true)
+	_, err := bed.execute(t, "r", true, 200*time.Millisecond, nil)
+	var nrn *cardamompass.NotRunError
+	if !errors.As(err, &nrn) {
+		t.Fatalf("got %v, want a NotRunError", err)
+	}
+	found := bed.recent.Find("r")
+	if len(found) != 1 || found[0].Outcome != cardamompass.OutcomeNotRun || found[0].Reason == "" {
+		t.Fatalf("decisions %+v", found)
+	}
+}
--- a/internal/edge/engine/execute.go
+++ b/internal/edge/engine/execute.go
@@ -202,7 +202,7 @@
 	if budget.DecideHedge(inp) != budget.HedgeAllowed {
 		return nil, false
 	}
-	hdg, ok = rqt.tryClaim()
+	hdg, ok = rqt.claimBut(rqt.tried)
 	if !ok {
 		return nil, false
 	}
