engine: take the length of a queue from the catalogue in force

Cause: the engine made the queue of a service once, so that an edit of queue-length had no effect until a restart; the set of queues that handles this was not used. Some functions had no caller. Change: the engine uses queue.Set; catlg.Delta, which Since replaced, and a reader of jsonc go; the count of log lines left out is a metric. The property of Delta is replaced by one of Since that checks every version of a document.

--- a/cmd/cardamompass/serve.go
+++ b/cmd/cardamompass/serve.go
@@ -42,7 +42,7 @@
 	defer flush()
 	// net/http writes to the standard logger when a target sends bytes that belong to no request.
 	defer zap.RedirectStdLog(log.Logger)()
-	prc, cleanup, err := newProcess(set, env, log.Logger)
+	prc, cleanup, err := newProcess(set, env, log)
 	if err != nil {
 		return err
 	}
@@ -57,7 +57,7 @@
 	}
 }
 
-func newProcess(set config.Settings, env Env, log *zap.Logger) (prc *entry.Process, cleanup func(), err error) {
+func newProcess(set config.Settings, env Env, log *logkv.Logger) (prc *entry.Process, cleanup func(), err error) {
 	sto, stopStore, err := env.NewStore(set.StoreAddress)
 	if err != nil {
 		return nil, nil, err
@@ -72,8 +72,10 @@
 		Settings: set,
 		Store:    sto,
 		Clock:    cardamompass.SystemClock{},
-		Log:      log,
+		Log:      log.Logger,
 		Boot:     bootID(),
+
+		LinesDropped: log.Dropped,
 	}
 	if set.VMListAddress != "" {
 		lst, stopList, err := vmlist.New(vmlist.Config{
--- a/internal/conf/catlg/document_test.go
+++ b/internal/conf/catlg/document_test.go
@@ -277,9 +277,17 @@
 		both := catlg.Merge(one, two)
 		return same(catlg.Merge(one, one), one) && same(catlg.Merge(both, two), both)
 	}, doc, doc))
-	pps.Property("delta carries what is missing and nothing else", prop.ForAll(func(one, two *catlg.Document) bool {
+	pps.Property("a part holds the entries after its version and nothing else", prop.ForAll(func(one, two *catlg.Document) bool {
 		both := catlg.Merge(one, two)
-		return same(catlg.Merge(one, catlg.Delta(one, two)), both) && catlg.Delta(both, two).Len() == 0
+		for version := uint64(0); version <= both.Version(); version++ {
+			part := both.Since(version)
+			for _, ent := range both.Entries() {
+				if _, held := part.Entry(ent.Name); held != (ent.Version > version) {
+					return false
+				}
+			}
+		}
+		return true
 	}, doc, doc))
 	pps.Property("digest differs when an entry differs", prop.ForAll(func(one, two *catlg.Document) bool {
 		return (one.Digest() == two.Digest()) == (one.Version() == two.Version() && reflect.DeepEqual(one.Entries(), two.Entries()))
--- a/internal/conf/catlg/merge.go
+++ b/internal/conf/catlg/merge.go
@@ -21,23 +21,6 @@
 	return newDocument(max(one.version, two.version), mergeEdits(one.edits, two.edits), ents)
 }
 
-// Delta returns the part of two that one lacks: Merge(one, Delta(one, two)) equals Merge(one, two).
-func Delta(one, two *Document) *Document {
-	ents := map[EntryName]Entry{}
-	for nam, ent := range two.ents {
-		if old, ok := one.ents[nam]; !ok || ent.compare(old) > 0 {
-			ents[nam] = ent
-		}
-	}
-	var edits []EditRecord
-	for _, rec := range two.edits {
-		if !slices.Contains(one.edits, rec) {
-			edits = append(edits, rec)
-		}
-	}
-	return newDocument(two.version, edits, ents)
-}
-
 // mergeEdits returns the latest MaxEdits records of both lists, the latest first, one for each id.
 func mergeEdits(one, two []EditRecord) (recs []EditRecord) {
 	all := slices.Concat(one, two)
--- a/internal/conf/jsonc/node.go
+++ b/internal/conf/jsonc/node.go
@@ -271,9 +271,6 @@
 // Members returns all members in the order of the file.
 func (obj *Object) Members() []Member { return obj.mems }
 
-// Node returns the object as a Node.
-func (obj *Object) Node() Node { return obj.nod }
-
 // Get returns the member name, if it is there, and makes name known to Close.
 func (obj *Object) Get(name string) (nod Node, ok bool) {
 	obj.known = append(obj.known, name)
--- a/internal/edge/engine/engine.go
+++ b/internal/edge/engine/engine.go
@@ -74,6 +74,7 @@
 	wtg      sync.WaitGroup
 	naive    naiveState
 	waiting  chan struct{}
+	queues   *queue.Set
 	// divided are the entry VMs among which connections were divided last, guarded by mtx.
 	divided []cardamompass.VMID
 }
@@ -82,7 +83,6 @@
 type service struct {
 	svc     cardamompass.Service
 	queue   *queue.Queue
-	stop    func()
 	retry   *budget.Budget
 	hedge   *budget.Budget
 	shifts  *shiftTimes
@@ -102,18 +102,18 @@
 	if cfg.QueueLength == 0 {
 		cfg.QueueLength = defaultQueueLength
 	}
+	queues, stopQueues := queue.NewSet(cfg.Clock)
 	eng = &Engine{
 		cfg:     cfg,
 		waiting: make(chan struct{}, 1),
+		queues:  queues,
 	}
 	eng.plan.Store(&plan{})
 	ctx, cancel := context.WithCancel(context.Background())
 	eng.wtg.Go(func() { eng.retryQueues(ctx) })
 	return eng, func() {
 		cancel()
-		for _, sta := range eng.plan.Load().services {
-			sta.stop()
-		}
+		stopQueues()
 		eng.wtg.Wait()
 	}
 }
@@ -127,18 +127,26 @@
 		cat:      cat,
 		services: make(map[cardamompass.ServiceName]*service),
 	}
-	for _, svc := range cat.Services() {
+	services := cat.Services()
+	eng.queues.SetServices(eng.withQueueLength(services))
+	for _, svc := range services {
 		next.services[svc.Name] = eng.service(old[svc.Name], svc)
 	}
 	next.targets = eng.subset(cat)
 	eng.cfg.Tracker.SetTargets(next.list(), eng.cfg.Clock.Now())
 	eng.cfg.Pool.SetResources(Resources(cat, eng.cfg.Self.Region), int64(cat.Version()))
 	eng.plan.Store(next)
-	for name, sta := range old {
-		if next.services[name] == nil {
-			sta.stop()
+}
+
+// withQueueLength returns the services with the configured length of the queue where the catalogue states none.
+func (eng *Engine) withQueueLength(services []cardamompass.Service) []cardamompass.Service {
+	services = slices.Clone(services)
+	for num := range services {
+		if services[num].QueueLength == 0 {
+			services[num].QueueLength = eng.cfg.QueueLength
 		}
 	}
+	return services
 }
 
 // MembersChanged divides the connections of the targets anew, after entry VMs came or went.
@@ -207,16 +215,9 @@
 	if old != nil {
 		kept := *old
 		kept.svc = svc
+		kept.queue = eng.queues.Queue(svc.Name, svc.Class)
 		return &kept
 	}
-	length := svc.QueueLength
-	if length == 0 {
-		length = eng.cfg.QueueLength
-	}
-	que, stop := queue.New(queue.Config{
-		Length: length,
-		Clock:  eng.cfg.Clock,
-	})
 	now := eng.cfg.Clock.Now()
 	retry, hedge := budget.RetryConfig(), budget.HedgeConfig()
 	retry.Percent, hedge.Percent = eng.cfg.RetryPercent, eng.cfg.HedgePercent
@@ -226,8 +227,7 @@
 	})
 	return &service{
 		svc:     svc,
-		queue:   que,
-		stop:    stop,
+		queue:   eng.queues.Queue(svc.Name, svc.Class),
 		retry:   budget.New(retry, now),
 		hedge:   budget.New(hedge, now),
 		shifts:  newShiftTimes(),
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -55,6 +55,8 @@
 	Log   *zap.Logger
 	// Boot identifies the run of the VM's operating system; empty if that is not known.
 	Boot string
+	// LinesDropped returns the number of log lines that the limit left out; nil if there is none.
+	LinesDropped func() int64
 	// Naive replaces the steering by its baseline, for measurements.
 	Naive bool
 }
--- a/internal/edge/entry/observe.go
+++ b/internal/edge/entry/observe.go
@@ -79,6 +79,9 @@
 		}).Gauge("requests-waiting").Update(float64(waiting))
 	}
 	root := prc.metrics.Scope()
+	if prc.cfg.LinesDropped != nil {
+		root.Gauge("log-lines-dropped").Update(float64(prc.cfg.LinesDropped()))
+	}
 	stats := prc.table.Stats()
 	root.Gauge("operation-records").Update(float64(stats.Records))
 	root.Gauge("operations-running").Update(float64(stats.Running))
