caller: take a new ticket after not-run

Cause: an operation that was refused as not run was sent again with its old ticket. When the ticket's home had left, its successor answers for the home and never runs anything, so that the caller got the same refusal again. Change: after not-run, which is certain, the operation is sent as a new one with a new ticket. The case of a home that left is not run here; the tests of operations and planned stops cover both together.

--- a/internal/load/caller/caller.go
+++ b/internal/load/caller/caller.go
@@ -1,8 +1,8 @@
 // Package caller is a caller of the system: it looks up entry VMs, keeps the answer for its max-age, sends requests and
 // sends them again to the next VM when that is safe.
 //
-// A request is sent again with the same id. An idempotent one is sent again after any failure, a non-idempotent one with the
-// ticket of its first sending, so that it can't run twice.
+// A request is sent again with the same id. An idempotent one is sent again after any failure. A non-idempotent one is sent again
+// with the ticket of its first sending, so that it can't run twice; only after a not-run does it get a new ticket.
 package caller
 
 import (
@@ -175,7 +175,7 @@
 func (clr *Caller) Do(ctx context.Context, req Request) (rsp Response, err error) {
 	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
 	defer cancel()
-	ticket := ""
+	ticket, attempt := "", 0
 	pause := resendPause
 	for num := range clr.cfg.Tries {
 		var lkp lookup.Response
@@ -183,10 +183,11 @@
 			return rsp, err
 		}
 		if ticket == "" {
-			ticket = lkp.Ticket
+			ticket, attempt = lkp.Ticket, 0
 		}
+		attempt++
 		vmr := lkp.VMs[num%len(lkp.VMs)]
-		rsp, err = clr.SendTo(ctx, vmr, req, ticket, num+1)
+		rsp, err = clr.SendTo(ctx, vmr, req, ticket, attempt)
 		rsp.VM, rsp.Sendings, rsp.Ticket = vmr.ID, num+1, ticket
 		if err == nil && !mayResend(rsp, req) || ctx.Err() != nil {
 			return rsp, err
@@ -194,6 +195,11 @@
 		if err != nil {
 			clr.forget(req.Service)
 		}
+		if err == nil && rsp.Outcome == cardamompass.OutcomeNotRun && !req.Idempotent {
+			// The operation did not run and its ticket's home may be gone for good, so it is sent as a new one.
+			clr.forget(req.Service)
+			ticket = ""
+		}
 		select {
 		case <-ctx.Done():
 			return rsp, err
