--- a/internal/edge/entry/caller.go
+++ b/internal/edge/entry/caller.go
@@ -71,6 +71,12 @@
 	rtr.HandleFunc("/v1/lookup", prc.handleLookup).Methods(http.MethodGet)
 	rtr.HandleFunc("/v1/operations", prc.handleOperation).Methods(http.MethodGet)
 	rtr.PathPrefix(servicesPrefix + "{service}").HandlerFunc(prc.handleRequest)
+	rtr.MethodNotAllowedHandler = http.HandlerFunc(func(rsw http.ResponseWriter, _ *http.Request) {
+		prc.refuse(rsw, "", &cardamompass.InvalidError{
+			Field:  "method",
+			Reason: "must be GET for this path",
+		})
+	})
 	rtr.NotFoundHandler = http.HandlerFunc(func(rsw http.ResponseWriter, _ *http.Request) {
 		prc.refuse(rsw, "", &cardamompass.InvalidError{
 			Field:  "path",
