entry: requests wait for the first catalogue of a VM that starts

Cause: other entry VMs name a VM in look-ups as soon as the membership knows it, but it gets its first catalogue only with a probe or from the store. Ruled out: the stop itself (no request was cut or refused by a VM that stops) and a lack of slots (the refusal names the catalogue). Change: readRequest waits up to 2 s for the first catalogue. Deadlines count from the arrival of the request, so the wait does not add to them. A VM that finds neither store nor peers still refuses as not-run after that. Conclusion: the cause is removed as far as the catalogue comes within 2 s.

--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -82,6 +82,8 @@
 	listed   map[string]bool
 	wtg      sync.WaitGroup
 	done     chan struct{}
+	// ready is closed when the first catalogue is in force.
+	ready    chan struct{}
 	cleanups []func()
 }
 
@@ -94,6 +96,7 @@
 		recent:  dump.NewRecent(recentDecisions),
 		listed:  make(map[string]bool),
 		done:    make(chan struct{}),
+		ready:   make(chan struct{}),
 	}
 	prc.inForce.Store(&inForce{})
 	for _, step := range []func() error{
--- a/internal/edge/entry/follow.go
+++ b/internal/edge/entry/follow.go
@@ -99,6 +99,9 @@
 	prc.refreshLookups()
 	prc.engine.SetCatalogue(cat)
 	prc.prober.SetTargets(cat.Targets())
+	if old.cat == nil {
+		close(prc.ready)
+	}
 	prc.metrics.Scope().Gauge("catalogue-version").Update(float64(cat.Version()))
 	prc.cfg.Log.Info("catalogue in force", zap.Uint64("version", cat.Version()), zap.Int("targets", len(cat.Targets())))
 }
--- a/internal/edge/entry/request.go
+++ b/internal/edge/entry/request.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -23,10 +24,14 @@
 	servicesPrefix = "/v1/services/"
 	// headerPrefix marks the headers of the interface, which are not passed on.
 	headerPrefix = "Cardamompass-"
+	// firstCatalogueWait bounds the wait of a request for the first catalogue. Others name a VM that has started in
+	// look-ups at once, and it gets the catalogue from them with the next probes, which are 500 ms apart.
+	firstCatalogueWait = 2 * time.Second
 )
 
 // readRequest makes a Request from a caller's HTTP request. Errors: InvalidError, NotRunError while there is no catalogue.
 func (prc *Process) readRequest(rqs *http.Request) (req cardamompass.Request, err error) {
+	arrived := time.Now()
 	req = cardamompass.Request{
 		ID:       cardamompass.RequestID(rqs.Header.Get(cardamompass.HeaderRequestID)),
 		Service:  cardamompass.ServiceName(mux.Vars(rqs)["service"]),
@@ -41,11 +46,12 @@
 	if err := checkID(req.ID); err != nil {
 		return req, err
 	}
+	prc.awaitCatalogue(rqs.Context())
 	svc, err := prc.engine.Service(req.Service)
 	if err != nil {
 		return req, err
 	}
-	if err := prc.readControl(rqs, svc, &req); err != nil {
+	if err := prc.readControl(rqs, arrived, svc, &req); err != nil {
 		return req, err
 	}
 	req.Header = passedOn(rqs.Header)
@@ -53,6 +59,22 @@
 	return req, err
 }
 
+// awaitCatalogue waits until the first catalogue is in force, or ctx or the bound ends.
+func (prc *Process) awaitCatalogue(ctx context.Context) {
+	select {
+	case <-prc.ready:
+		return
+	default:
+	}
+	ctx, cancel := context.WithTimeout(ctx, firstCatalogueWait)
+	defer cancel()
+	select {
+	case <-prc.ready:
+	case <-prc.done:
+	case <-ctx.Done():
+	}
+}
+
 // uncertain returns the error for a sending that was refused before the operation's home was asked. An earlier sending may
 // have run there, so only a declared first one is certainly not run. This sending of an idempotent request is not run.
 func uncertain(rqs *http.Request, err error) error {
@@ -83,12 +105,14 @@
 }
 
 // readControl reads the headers that say how the request is to be run.
-func (prc *Process) readControl(rqs *http.Request, svc cardamompass.Service, req *cardamompass.Request) (err error) {
+func (prc *Process) readControl(
+	rqs *http.Request, arrived time.Time, svc cardamompass.Service, req *cardamompass.Request,
+) (err error) {
 	timeout, err := readTimeout(rqs.Header.Get(cardamompass.HeaderTimeout), svc.MaxTimeout)
 	if err != nil {
 		return err
 	}
-	req.Deadline = time.Now().Add(timeout)
+	req.Deadline = arrived.Add(timeout)
 	switch text := rqs.Header.Get(cardamompass.HeaderIdempotent); {
 	case svc.AlwaysIdempotent || text == "true":
 		req.Idempotent = true
