--- a/internal/fleet/share/pool.go
+++ b/internal/fleet/share/pool.go
@@ -283,6 +283,12 @@
 	}
 	if err := pol.keepLease(ctx); err != nil {
 		pol.cfg.Log.Warn("share lease not renewed", zap.Error(err), zap.Time("ends", pol.leaseEnds()))
+		if pol.lease.Load().id == "" {
+			// Without a lease this VM owns nothing, so it must not wait for its next regular visit.
+			for _, name := range names {
+				pol.setDue(name)
+			}
+		}
 		return
 	}
 	pol.forgetLeases()
