--- a/internal/edge/entry/bench_test.go
+++ b/internal/edge/entry/bench_test.go
@@ -1,15 +1,18 @@
 package entry_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"runtime"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
+	"cardamompass"
 	"cardamompass/internal/stand/demo"
 )
 
@@ -77,3 +80,60 @@
 	}
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkRequestHTTP measures requests that run on a target, 8 at a time, with caller, entry VM and target in this
+// process. cpu-us is the processor time of all three for one request.
+func BenchmarkRequestHTTP(b *testing.B) {
+	cfg, err := demo.Small(zap.NewNop())
+	if err != nil {
+		b.Fatal(err)
+	}
+	cfg.VMs = cfg.VMs[:1]
+	sit, cleanup, err := demo.New(cfg)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer cleanup()
+	trn := &http.Transport{
+		MaxIdleConnsPerHost: 64,
+	}
+	defer trn.CloseIdleConnections()
+	url := "http://" + sit.VMs[0].VM().CallerAddress + "/v1/services/kiosk-core/stock/7"
+	const parallel, each = 8, 50
+	sent := 0
+	used := processorTime(b)
+	for b.Loop() {
+		var wtg sync.WaitGroup
+		for num := range parallel {
+			wtg.Go(func() {
+				for pos := range each {
+					sendOne(b, trn, url, fmt.Sprintf("bench-%d-%d-%d", sent, num, pos))
+				}
+			})
+		}
+		wtg.Wait()
+		sent += parallel * each
+	}
+	b.ReportMetric(float64((processorTime(b)-used).Microseconds())/float64(sent), "cpu-us")
+	b.ReportMetric(float64(sent)/b.Elapsed().Seconds(), "requests/s")
+}
+
+func sendOne(b *testing.B, trn *http.Transport, url, rid string) {
+	rqs, err := http.NewRequest(http.MethodGet, url, http.NoBody)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	rqs.Header.Set(cardamompass.HeaderRequestID, rid)
+	rqs.Header.Set(cardamompass.HeaderCallerRegion, "gulf")
+	res, err := trn.RoundTrip(rqs)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		b.Error(res.Status)
+	}
+}
--- a/internal/fleet/share/bench_test.go
+++ b/internal/fleet/share/bench_test.go
@@ -324,3 +324,55 @@
 		})
 	}
 }
+
+// BenchmarkStorm reports the loans that a VM holds after 5 s in which a quarter of the VMs lack units of one rate. A VM that
+// still lacks units asks each of its lenders ten times a second.
+func BenchmarkStorm(b *testing.B) {
+	for _, owners := range fleetSizes {
+		b.Run(fmt.Sprintf("vms=%d", owners), func(b *testing.B) {
+			for b.Loop() {
+				reportStorm(b, newWorld(*seed, owners))
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func reportStorm(b *testing.B, wld *world) {
+	wld.capacity["link/gulf/delta"] = 1_000_000
+	for _, one := range wld.vms {
+		one.setResources(2)
+	}
+	// Two visits of each VM divide the units.
+	for range 2 {
+		for _, one := range wld.vms {
+			one.pol.Visit(context.Background())
+			wld.now = wld.now.Add(10 * time.Millisecond)
+		}
+	}
+	storm := len(wld.vms) / 4
+	for range 50 {
+		wld.now = wld.now.Add(100 * time.Millisecond)
+		for num, one := range wld.vms {
+			one.pol.BorrowRound(context.Background())
+			for range 10 {
+				if num < storm {
+					one.pol.Rate("link/gulf/delta").Allow(5000, "short")
+				}
+			}
+		}
+	}
+	total, most, usable := 0, 0, int64(0)
+	for _, one := range wld.vms[:storm] {
+		for _, res := range one.pol.State().Resources {
+			if res.Name == "link/gulf/delta" {
+				total += len(res.Borrowed)
+				most = max(most, len(res.Borrowed))
+				usable += res.Usable
+			}
+		}
+	}
+	b.ReportMetric(float64(total)/float64(storm), "loans/VM")
+	b.ReportMetric(float64(most), "max-loans")
+	b.ReportMetric(float64(usable)/float64(wld.capacity["link/gulf/delta"])*100, "percent-of-cap")
+}
--- a/internal/steer/health/cost_test.go
+++ b/internal/steer/health/cost_test.go
@@ -1,13 +1,14 @@
 package health_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"runtime"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -66,20 +67,47 @@
 	return num, err
 }
 
-// BenchmarkProbe measures the bytes of one probe, both of its requests with their answers, without the headers of TCP and
-// IP. The processor time is that of both sides.
-func BenchmarkProbe(b *testing.B) {
-	var bytes, probes atomic.Int64
-	srv := httptest.NewServer(http.HandlerFunc(func(rsw http.ResponseWriter, rqs *http.Request) {
-		rsw.Header().Set("Content-Type", "application/json")
-		if rqs.URL.Path == "/healthz" {
-			_, _ = rsw.Write([]byte(`{"state":"serving"}`))
+// cannedTarget answers probes with fixed bytes and as little work as possible, so that what is measured is mostly the
+// prober's part. It counts the probes by their second request.
+func cannedTarget(b *testing.B, probes *atomic.Int64) (address string) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = lis.Close() })
+	answer := func(body string) []byte {
+		return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"+
+			"Date: Thu, 01 Jan 2026 00:00:00 GMT\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	health, load := answer(`{"state":"serving"}`), answer(`{"in-flight":3,"slots":6}`)
+	go func() {
+		con, err := lis.Accept()
+		if err != nil {
 			return
 		}
-		probes.Add(1)
-		_, _ = rsw.Write([]byte(`{"in-flight":3,"slots":6}`))
-	}))
-	defer srv.Close()
+		defer func() { _ = con.Close() }()
+		buf := make([]byte, 4096)
+		for {
+			num, err := con.Read(buf) // a request is one write of the client
+			if err != nil {
+				return
+			}
+			if bytes.HasPrefix(buf[:num], []byte("GET /healthz")) {
+				_, _ = con.Write(health)
+				continue
+			}
+			_, _ = con.Write(load)
+			probes.Add(1)
+		}
+	}()
+	return lis.Addr().String()
+}
+
+// BenchmarkProbe measures the bytes of one probe, both of its requests with their answers, without the headers of TCP and
+// IP, and its processor time.
+func BenchmarkProbe(b *testing.B) {
+	var sent, probes atomic.Int64
+	address := cannedTarget(b, &probes)
 	var dlr net.Dialer
 	cli := &http.Client{
 		Transport: &http.Transport{
@@ -87,30 +115,39 @@
 				cnn, err = dlr.DialContext(ctx, network, address)
 				return countConn{
 					Conn:  cnn,
-					bytes: &bytes,
+					bytes: &sent,
 				}, err
 			},
 		},
 	}
 	defer cli.CloseIdleConnections()
-	trk := newTracker(1, nil)
 	tgt := targets(1)[0]
-	tgt.Address = srv.Listener.Addr().String()
+	tgt.Address = address
 	prb, stop := health.NewProber(health.ProberConfig{
-		Tracker:   trk,
+		Tracker:   newTracker(1, nil),
 		Clock:     cardamompass.SystemClock{},
 		Client:    cli,
 		Interval:  time.Microsecond,
 		PerSecond: 1 << 30,
 	})
 	prb.SetTargets([]cardamompass.Target{tgt})
+	used := processorTime(b)
 	for b.Loop() {
 		for was := probes.Load(); probes.Load() == was; {
-			runtime.Gosched()
+			time.Sleep(100 * time.Microsecond)
 		}
 	}
 	stop()
-	b.ReportMetric(float64(bytes.Load())/float64(probes.Load()), "B/probe")
+	b.ReportMetric(float64((processorTime(b)-used).Microseconds())/float64(probes.Load()), "cpu-us/probe")
+	b.ReportMetric(float64(sent.Load())/float64(probes.Load()), "B/probe")
+}
+
+func processorTime(b *testing.B) (used time.Duration) {
+	var usg syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usg); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usg.Utime.Nano() + usg.Stime.Nano())
 }
 
 // BenchmarkProberMemory reports the memory of a prober by the number of targets, stacks included, between its probes.
