--- a/internal/steer/health/cost_test.go
+++ b/internal/steer/health/cost_test.go
@@ -79,7 +79,7 @@
 		return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"+
 			"Date: Thu, 01 Jan 2026 00:00:00 GMT\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	}
-	health, load := answer(`{"state":"serving"}`), answer(`{"in-flight":3,"slots":6}`)
+	healthy, load := answer(`{"state":"serving"}`), answer(`{"in-flight":3,"slots":6}`)
 	go func() {
 		con, err := lis.Accept()
 		if err != nil {
@@ -93,7 +93,7 @@
 				return
 			}
 			if bytes.HasPrefix(buf[:num], []byte("GET /healthz")) {
-				_, _ = con.Write(health)
+				_, _ = con.Write(healthy)
 				continue
 			}
 			_, _ = con.Write(load)
