--- a/internal/steer/health/cost_test.go
+++ b/internal/steer/health/cost_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"sync/atomic"
 	"syscall"
@@ -185,3 +186,52 @@
 	runtime.ReadMemStats(&after)
 	return after.HeapAlloc + after.StackInuse - before.HeapAlloc - before.StackInuse
 }
+
+// BenchmarkProbeConnections reports the connections that are opened for each probe, by the number of targets, with the
+// transport that an entry VM uses: a clone of the default one.
+func BenchmarkProbeConnections(b *testing.B) {
+	for _, count := range []int{20, 90, 150, 300} {
+		b.Run(fmt.Sprintf("targets=%d", count), func(b *testing.B) {
+			var opened, probes atomic.Int64
+			tgts := targets(count)
+			for num := range tgts {
+				srv := httptest.NewUnstartedServer(http.HandlerFunc(func(rsw http.ResponseWriter, rqs *http.Request) {
+					if rqs.URL.Path == "/load" {
+						probes.Add(1)
+					}
+					_, _ = rsw.Write([]byte(`{"state":"serving"}`))
+				}))
+				srv.Config.ConnState = func(_ net.Conn, sta http.ConnState) {
+					if sta == http.StateNew {
+						opened.Add(1)
+					}
+				}
+				srv.Start()
+				b.Cleanup(srv.Close)
+				tgts[num].Address = srv.Listener.Addr().String()
+			}
+			trn := http.DefaultTransport.(*http.Transport).Clone()
+			b.Cleanup(trn.CloseIdleConnections)
+			prb, stop := health.NewProber(health.ProberConfig{
+				Tracker:   newTracker(count, nil),
+				Clock:     cardamompass.SystemClock{},
+				Client:    &http.Client{Transport: trn},
+				PerSecond: 1000,
+				Interval:  100 * time.Millisecond,
+			})
+			prb.SetTargets(tgts)
+			wait := func(num int64) {
+				for was := probes.Load(); probes.Load() < was+num; {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			wait(2 * int64(count))
+			firstOpened, firstProbes := opened.Load(), probes.Load()
+			for b.Loop() {
+				wait(int64(count))
+			}
+			b.ReportMetric(float64(opened.Load()-firstOpened)/float64(probes.Load()-firstProbes), "connections/probe")
+			stop()
+		})
+	}
+}
