--- a/cmd/cardamompass/dump.go
+++ b/cmd/cardamompass/dump.go
@@ -149,7 +149,7 @@
 	return strings.Join(list, " ")
 }
 
-// writeDifferences names where entry VMs differ: the catalogue in force, their view of the members and of leaving targets.
+// writeDifferences returns an error if entry VMs differ and names where entry VMs differ: the catalogue in force, their view of the members and of leaving targets.
 func writeDifferences(out io.Writer, states map[string]entry.State) (err error) {
 	type view struct{ catalogue, members, leaving string }
 	views := make(map[view][]string)
@@ -179,5 +179,5 @@
 			return err
 		}
 	}
-	return nil
+	return errors.New("the entry VMs differ")
 }
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -307,6 +307,9 @@
 	prc.onCleanup(stop)
 	probes := http.DefaultTransport.(*http.Transport).Clone()
 	probes.Proxy = nil
+	// One connection to each target is kept, however many there are; the default closes all but 100.
+	probes.MaxIdleConns = 0
+	probes.MaxIdleConnsPerHost = 1
 	prc.onCleanup(probes.CloseIdleConnections)
 	prc.prober, stop = health.NewProber(health.ProberConfig{
 		Tracker: prc.tracker,
@@ -376,7 +379,6 @@
 		prc.wtg.Go(prc.followList)
 	}
 	prc.cfg.Log.Info("entry VM started",
-		zap.String("vm", string(prc.vm.ID)),
 		zap.Uint64("incarnation", uint64(prc.vm.Incarnation)),
 		zap.String("caller-address", prc.vm.CallerAddress),
 		zap.String("peer-address", prc.vm.PeerAddress),
--- a/internal/obs/logkv/logkv.go
+++ b/internal/obs/logkv/logkv.go
@@ -6,6 +6,7 @@
 
 import (
 	"io"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -55,6 +56,9 @@
 	}
 	dropped := &atomic.Int64{}
 	core := zapcore.NewCore(zaplogfmt.NewEncoder(encoderConfig()), zapcore.Lock(zapcore.AddSync(cfg.Writer)), level)
+	core = plainErrors{
+		Core: core,
+	}
 	core = zapcore.NewSamplerWithOptions(core, time.Second, repeats, 0,
 		zapcore.SamplerHook(func(_ zapcore.Entry, dec zapcore.SamplingDecision) {
 			if dec&zapcore.LogDropped != 0 {
@@ -72,6 +76,40 @@
 	return lgr, func() { _ = zlg.Sync() }, nil
 }
 
+// plainErrors writes errors as their text. zap adds the call stack of an error that has one, with the paths of the machine on
+// which the program was built.
+type plainErrors struct{ zapcore.Core }
+
+// With implements zapcore.Core.
+func (pln plainErrors) With(fields []zapcore.Field) zapcore.Core {
+	return plainErrors{
+		Core: pln.Core.With(plain(fields)),
+	}
+}
+
+// Check implements zapcore.Core.
+func (pln plainErrors) Check(ent zapcore.Entry, chk *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if pln.Enabled(ent.Level) {
+		return chk.AddCore(ent, pln)
+	}
+	return chk
+}
+
+// Write implements zapcore.Core.
+func (pln plainErrors) Write(ent zapcore.Entry, fields []zapcore.Field) error {
+	return pln.Core.Write(ent, plain(fields))
+}
+
+func plain(fields []zapcore.Field) []zapcore.Field {
+	fields = slices.Clone(fields)
+	for num, fld := range fields {
+		if err, ok := fld.Interface.(error); ok && fld.Type == zapcore.ErrorType {
+			fields[num] = zap.String(fld.Key, err.Error())
+		}
+	}
+	return fields
+}
+
 func encoderConfig() zapcore.EncoderConfig {
 	return zapcore.EncoderConfig{
 		MessageKey:     "event",
--- a/internal/obs/logkv/logkv_test.go
+++ b/internal/obs/logkv/logkv_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"cardamompass/internal/obs/logkv"
@@ -47,3 +48,20 @@
 		t.Fatal("level was accepted")
 	}
 }
+
+// Guards against a call stack, with the paths of the build machine, in the line of an error.
+func TestErrorsHaveNoStack(t *testing.T) {
+	var buf bytes.Buffer
+	lgr, cleanup, err := logkv.New(logkv.Config{
+		Writer: &buf,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	lgr.With(zap.Error(errors.New("first"))).Warn("store call failed", zap.Error(errors.Wrap(errors.New("second"), "read")))
+	cleanup()
+	line := buf.String()
+	if strings.Contains(line, "Verbose") || strings.Contains(line, ".go:") || !strings.Contains(line, `error="read: second"`) {
+		t.Fatalf("line %q", line)
+	}
+}
--- a/internal/stand/demo/demo.go
+++ b/internal/stand/demo/demo.go
@@ -244,7 +244,7 @@
 		Store:    sto,
 		VMs:      vms,
 		Clock:    cardamompass.SystemClock{},
-		Log:      sit.cfg.Log.With(zap.String("vm", string(set.VMID))),
+		Log:      sit.cfg.Log.With(zap.String("process", string(set.VMID))),
 		Naive:    sit.cfg.Naive,
 	})
 	if err != nil {
