limit, share: prove the caps with separate processes; keep units usable after a lower cap

Cause: No test measured the caps of a shift independently of the product. The new test found that entry VMs could use only about a third of a cap that was lowered while the units of two dead entry VMs stayed in the ledger: the ledger's capacity could not be written, so that the others both lowered their entries to a part of the new cap and scaled them down by the ratio of the capacities. Ruled out: loans (the units were owned by all five), the queue (the rate was the same in each second), the slots (32 on each target). Change: Ledger.Plan leaves the units as they are when a lower capacity can't fit because of owners that neither serve nor have a lapsed lease; scaling alone holds the cap then. The stand-in of a target records when a run began; the fault proxies have a small send buffer so that their counts stay close to what was received.

--- a/internal/fleet/share/ledger.go
+++ b/internal/fleet/share/ledger.go
@@ -133,6 +133,9 @@
 	Succeeds bool
 	// Gone reports whether the lease of an entry has lapsed and its incarnation is certainly not in use any more.
 	Gone func(Entry) bool
+	// Stuck reports whether the owner of an entry can't lower it: it does not serve, and its lease has not lapsed. Nil
+	// means that all can.
+	Stuck func(Entry) bool
 }
 
 // Plan returns the ledger that the visitor wants: without the entries of gone owners, with the capacity in force if the
@@ -142,9 +145,15 @@
 	next = led.without(func(ent Entry) bool {
 		return !ent.same(vis.Owner) && (vis.Succeeds && vis.Owner.succeeds(ent.Owner) || vis.Gone(ent))
 	})
-	capacity := next.Capacity
+	wanted := next.Capacity
 	if vis.CatalogueVersion >= next.CatalogueVersion {
-		capacity = vis.Resource.Capacity
+		wanted = vis.Resource.Capacity
+	}
+	capacity := wanted
+	if capacity < next.Capacity && !next.fits(vis, capacity) {
+		// The capacity in the ledger stays, and all owners scale their units down. Who lowered its entry as well would use
+		// only a part of its part.
+		capacity = next.Capacity
 	}
 	mine := min(next.Units(vis.Owner), vis.Held)
 	others := next.WithoutOwner(vis.Owner).Sum()
@@ -164,13 +173,30 @@
 		Units: units,
 	})
 	// A lower capacity is written only when the units fit into it; until then owners scale their units down.
-	if next.Sum() <= capacity && vis.CatalogueVersion >= led.CatalogueVersion {
-		next.Capacity = capacity
+	if next.Sum() <= wanted && vis.CatalogueVersion >= led.CatalogueVersion {
+		next.Capacity = wanted
 		next.CatalogueVersion = vis.CatalogueVersion
 	}
 	return next
 }
 
+// fits reports whether the units can fit into a lower capacity once all owners that can lower their entries have an equal
+// part.
+func (led Ledger) fits(vis Visit, capacity int64) bool {
+	if vis.Stuck == nil {
+		return true
+	}
+	part := capacity / max(1, int64(len(led.Entries)))
+	sum := int64(0)
+	for _, ent := range led.Entries {
+		if !vis.Stuck(ent) {
+			ent.Units = min(ent.Units, part)
+		}
+		sum += ent.Units
+	}
+	return sum <= capacity
+}
+
 // starved reports whether another owner has less than half of an equal part. Owners lower their entries only then, so that
 // small changes in the number of owners cause no writes.
 func (led Ledger) starved(own Owner, part int64) bool {
--- a/internal/fleet/share/share_test.go
+++ b/internal/fleet/share/share_test.go
@@ -10,6 +10,7 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
+	"cardamompass"
 	"cardamompass/internal/fleet/share"
 )
 
@@ -227,6 +228,46 @@
 	}
 }
 
+// Guards against a lower cap of which little can be used: an owner that died keeps its units in the ledger, so that the lower
+// capacity can't be written, and the others both lower their entries and scale them down.
+func TestLowerCapWithDeadOwners(t *testing.T) {
+	led := share.Ledger{
+		Capacity:         210,
+		CatalogueVersion: 1,
+	}
+	for num := range 7 {
+		led = led.WithEntry(share.Entry{
+			Owner: share.Owner{VM: "vm", Incarnation: cardamompass.Incarnation(num)},
+			Units: 30,
+		})
+	}
+	dead := func(ent share.Entry) bool { return ent.Incarnation < 2 }
+	for range 3 {
+		for _, ent := range led.Entries {
+			if dead(ent) {
+				continue
+			}
+			led = led.Plan(share.Visit{
+				Owner:            ent.Owner,
+				Resource:         share.Resource{Capacity: 105},
+				CatalogueVersion: 2,
+				Held:             led.Units(ent.Owner),
+				Gone:             func(share.Entry) bool { return false },
+				Stuck:            dead,
+			})
+		}
+	}
+	usable := int64(0)
+	for _, ent := range led.Entries {
+		if !dead(ent) {
+			usable += ent.Units * 105 / led.Capacity
+		}
+	}
+	if usable != 75 {
+		t.Fatalf("five of seven owners can use %d of 105 units, want 75: %+v", usable, led)
+	}
+}
+
 // Guards against a plan that raises the sum above the capacity, touches another owner's units, or takes more than is held.
 func TestPlanProperties(t *testing.T) {
 	params := gopter.DefaultTestParametersWithSeed(*seed)
--- a/internal/fleet/share/visit.go
+++ b/internal/fleet/share/visit.go
@@ -49,12 +49,12 @@
 	if err != nil {
 		return false, err
 	}
-	gone, err := pol.goneOwners(ctx, led)
+	gone, stuck, err := pol.lostOwners(ctx, led)
 	if err != nil {
 		return false, err
 	}
 	cel := pol.cell(name)
-	next, force := pol.plan(cel, led, revision, gone)
+	next, force := pol.plan(cel, led, revision, gone, stuck)
 	if next.Equal(led) && !force {
 		cel.confirm(next.Units(pol.owner()), next.Capacity)
 		return true, nil
@@ -69,7 +69,7 @@
 
 // plan decides on the next ledger. Units that it gives up are not used from here on, before the write that gives them to
 // others is sent.
-func (pol *Pool) plan(cel *cell, led Ledger, revision int64, gone map[Owner]bool) (next Ledger, force bool) {
+func (pol *Pool) plan(cel *cell, led Ledger, revision int64, gone, stuck map[Owner]bool) (next Ledger, force bool) {
 	now := pol.cfg.Clock.Now()
 	own := pol.owner()
 	pol.mtx.Lock()
@@ -93,6 +93,7 @@
 		Held:             cel.units,
 		Floor:            floor,
 		Gone:             func(ent Entry) bool { return gone[ent.Owner] },
+		Stuck:            func(ent Entry) bool { return stuck[ent.Owner] },
 	})
 	cel.units = min(cel.units, next.Units(own))
 	if next.uneven() {
@@ -131,16 +132,16 @@
 	cel.doubt = false
 }
 
-// goneOwners returns the owners whose units can be taken: the membership does not hold them for serving, and the store says that
-// their lease has lapsed. Silence alone is no reason.
-func (pol *Pool) goneOwners(ctx context.Context, led Ledger) (gone map[Owner]bool, err error) {
+// lostOwners returns the owners that the membership does not hold for serving: gone are those whose lease has lapsed
+// according to the store, so that their units can be taken; stuck are the others. Silence alone is no reason to take units.
+func (pol *Pool) lostOwners(ctx context.Context, led Ledger) (gone, stuck map[Owner]bool, err error) {
 	serving := make(map[party]bool)
 	for _, mbr := range pol.cfg.Members.Members() {
 		if mbr.Serving() {
 			serving[party{vm: mbr.VM.ID, incarnation: mbr.VM.Incarnation}] = true
 		}
 	}
-	gone = make(map[Owner]bool)
+	gone, stuck = make(map[Owner]bool), make(map[Owner]bool)
 	for _, ent := range led.Entries {
 		if ent.same(pol.cfg.Owner) || serving[party{vm: ent.VM, incarnation: ent.Incarnation}] {
 			continue
@@ -151,10 +152,12 @@
 		case errors.As(err, &nfd):
 			gone[ent.Owner] = true
 		case err != nil:
-			return nil, err
+			return nil, nil, err
+		default:
+			stuck[ent.Owner] = true
 		}
 	}
-	return gone, nil
+	return gone, stuck, nil
 }
 
 // releaseLedger takes this incarnation's entry out of one ledger, or lowers it to what is still lent or in use.
--- /dev/null
+++ b/internal/proof/limit/units_test.go
@@ -0,0 +1,145 @@
+package limit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"cardamompass"
+	"cardamompass/internal/fleet/share"
+	"cardamompass/internal/stand/demo"
+	"cardamompass/internal/stand/procs"
+)
+
+// demandTime is the time after which a demand on few entry VMs gets most of a cap.
+const demandTime = 2 * time.Second
+
+// ledgers returns the ledgers in the store by the names of their resources.
+func ledgers(sit *procs.Site) (leds map[string]share.Ledger, err error) {
+	snp, err := sit.Store.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	leds = make(map[string]share.Ledger)
+	for key, val := range snp.Values {
+		name, ok := strings.CutPrefix(key, "share/")
+		if !ok {
+			continue
+		}
+		led, err := share.ParseLedger(val.Data)
+		if err != nil {
+			return nil, err
+		}
+		leds[name] = led
+	}
+	return leds, nil
+}
+
+// settle waits until every entry VM owns a good part of each resource. The first entry VM of a new site owns everything
+// at first.
+func settle(tst *testing.T, sit *procs.Site) {
+	tst.Helper()
+	began := time.Now()
+	must(tst, procs.Await(2*time.Minute, func() (missing string) {
+		leds, err := ledgers(sit)
+		if err != nil {
+			return err.Error()
+		}
+		sta, err := sit.VMs[0].State()
+		if err != nil {
+			return err.Error()
+		}
+		if len(leds) < len(sta.Shares.Resources) {
+			return "resources without a ledger"
+		}
+		for name, led := range leds {
+			part := led.Capacity / int64(len(sit.VMs))
+			if len(led.Entries) < len(sit.VMs) ||
+				slices.ContainsFunc(led.Entries, func(ent share.Entry) bool { return ent.Units < min(part, max(1, part/2)) }) {
+				return fmt.Sprintf("%s is divided unevenly: %+v", name, led.Entries)
+			}
+		}
+		return ""
+	}))
+	tst.Logf("the units were divided %v after the site was ready", time.Since(began).Round(time.Second))
+}
+
+// awaitAvoided waits until no entry VM uses a target of the region any more.
+func awaitAvoided(tst *testing.T, sit *procs.Site, reg cardamompass.Region) {
+	tst.Helper()
+	must(tst, procs.Await(time.Minute, func() (missing string) {
+		for _, vmp := range sit.VMs {
+			sta, err := vmp.State()
+			if err != nil {
+				return err.Error()
+			}
+			for _, svc := range sta.Services {
+				for _, tgt := range svc.Targets {
+					if tgt.Region == reg && !tgt.Leaving && !tgt.Failing {
+						return fmt.Sprintf("%s uses %s", vmp.Place.ID, tgt.ID)
+					}
+				}
+			}
+		}
+		return ""
+	}))
+}
+
+// checkDemand checks that a demand above the cap on two entry VMs gets four fifths of it after demandTime.
+func checkDemand(tst *testing.T, sit *procs.Site, rnd *rand.Rand) {
+	tst.Helper()
+	order := rnd.Perm(len(sit.VMs))
+	began := time.Now()
+	lod := startLoad(tst, loadConfig{
+		Name:    "demand",
+		VMs:     []*procs.VM{sit.VMs[order[0]], sit.VMs[order[1]]},
+		Region:  "gulf",
+		Service: demo.Short,
+		Callers: 60,
+		Timeout: shortWait,
+		Random:  rnd,
+	})
+	pass(demandTime + 3*time.Second)
+	spans := spansOf(tst, lod.stop(), targetsOf(sit, "delta"))
+	for second := range 5 {
+		tst.Logf("demand on %s and %s: %d runs in second %d", sit.VMs[order[0]].Place.ID, sit.VMs[order[1]].Place.ID,
+			ran(spans, began.Add(time.Duration(second)*time.Second), time.Second), second)
+	}
+	if got := ran(spans, began.Add(demandTime), 2*time.Second); got < 2*shiftCap*4/5 {
+		tst.Errorf("%d requests shifted within 2 s, want at least four fifths of %d", got, 2*shiftCap)
+	}
+	if overCap(tst, "demand on two VMs", spans, shiftCap) {
+		tst.Error("the shift cap was passed")
+	}
+}
+
+// checkStop checks that the units of an entry VM that stops as planned are divided among the others in the end.
+func checkStop(tst *testing.T, sit *procs.Site) {
+	tst.Helper()
+	stopped := sit.VMs[slices.IndexFunc(sit.VMs, (*procs.VM).Running)]
+	must(tst, stopped.Stop())
+	name := share.ShiftName(demo.Short, "gulf", "delta")
+	must(tst, procs.Await(time.Minute, func() (missing string) {
+		leds, err := ledgers(sit)
+		if err != nil {
+			return err.Error()
+		}
+		led := leds[name]
+		for _, ent := range led.Entries {
+			if ent.VM == stopped.Place.ID {
+				return fmt.Sprintf("%s still owns %d units", ent.VM, ent.Units)
+			}
+		}
+		// The entries of entry VMs that died stay as they are until their leases lapse.
+		part := led.Capacity / int64(len(led.Entries))
+		for _, ent := range led.Entries {
+			if sit.VM(ent.VM).Running() && ent.Units < part {
+				return fmt.Sprintf("%s owns %d units, want %d", ent.VM, ent.Units, part)
+			}
+		}
+		return ""
+	}))
+}
--- a/internal/stand/fault/fault.go
+++ b/internal/stand/fault/fault.go
@@ -38,6 +38,9 @@
 	Address string
 	// Upstream is the host:port, by IP number, to which connections are carried.
 	Upstream string
+	// SendBuffer bounds the bytes that count as delivered towards the side that dials while they wait for it in the
+	// system's send buffer, which holds up to twice as many. Zero means the system's choice, up to some megabytes.
+	SendBuffer int
 	// Clock gives the time of delays. Nil means the system's clock.
 	Clock cardamompass.Clock
 }
--- a/internal/stand/fault/link.go
+++ b/internal/stand/fault/link.go
@@ -47,6 +47,9 @@
 		resetConn(con)
 		return
 	}
+	if tcp, ok := con.(*net.TCPConn); ok && prx.cfg.SendBuffer > 0 {
+		_ = tcp.SetWriteBuffer(prx.cfg.SendBuffer)
+	}
 	lnk := &link{
 		prx: prx,
 		con: [2]net.Conn{con, ups},
--- a/internal/stand/procs/site.go
+++ b/internal/stand/procs/site.go
@@ -25,6 +25,9 @@
 // peerKey is shared by the entry VMs of a site.
 const peerKey = "procs-key-for-loopback-only"
 
+// proxySendBuffer is the send buffer of the proxies in bytes, see fault.Config.
+const proxySendBuffer = 64 << 10
+
 // Place names an entry VM and says where it is.
 type Place struct {
 	ID            cardamompass.VMID
@@ -155,6 +158,8 @@
 	prx, stop, err := fault.New(fault.Config{
 		Address:  "127.0.0.1:0",
 		Upstream: upstream,
+		// Keeps the counts of delivered bytes close to what was received.
+		SendBuffer: proxySendBuffer,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/stand/target/runs.go
+++ b/internal/stand/target/runs.go
@@ -1,9 +1,13 @@
 package target
 
-import "maps"
+import (
+	"maps"
+	"time"
+)
 
-// maxLastRuns bounds the list of single runs that are kept.
-const maxLastRuns = 1000
+// maxLastRuns bounds the list of single runs that are kept. It covers tests that count the runs in each second of a
+// storm.
+const maxLastRuns = 10000
 
 // Run is one execution of a request.
 type Run struct {
@@ -13,6 +17,8 @@
 	Operation string `json:"operation"`
 	// RequestID is the id of the attempt.
 	RequestID string `json:"request-id"`
+	// At is the time at which the request got its slot.
+	At time.Time `json:"at"`
 }
 
 // Runs is the record of a target. It survives crashes. A request counts as run from the moment it has a slot.
@@ -35,7 +41,7 @@
 	ByContent   map[string]int `json:"by-content"`
 	ByOperation map[string]int `json:"by-operation"`
 	ByRequestID map[string]int `json:"by-request-id"`
-	// Last holds the last 1000 runs, the oldest first.
+	// Last holds the last 10000 runs, the oldest first.
 	Last []Run `json:"last"`
 }
 
--- a/internal/stand/target/work.go
+++ b/internal/stand/target/work.go
@@ -164,6 +164,7 @@
 	case <-jbb.lif.end:
 		reason = "crashed"
 	default:
+		jbb.run.At = tgt.clk.Now()
 		tgt.rec.start(jbb.run)
 		tgt.noteLoad()
 		return ""
