limit, health: prove the bound on crashing content; avoid a crashed target at once

A target counts as failing only after three failures at each entry VM, so that each crash costs attempts and the retry budget. Ruled out: a block of the neighbour (the reason was the dial), lack of room (64 slots for 14 callers). Change: An entry VM that finds a crash avoids the target for 5 s at once, and so do the peers that get its report.

--- a/internal/edge/entry/signs.go
+++ b/internal/edge/entry/signs.go
@@ -47,9 +47,14 @@
 	return nil
 }
 
-// Suspects merges the report of a peer about content that crashes its targets.
+// Suspects merges the report of a peer about content that crashes its targets, and avoids the targets that crashed: without
+// that, each VM would find out by failed attempts, which use up the retries.
 func (sgn *Signs) Suspects(args *SuspectsArgs, _ *SignsReply) (err error) {
-	sgn.prc.guard.Merge(args.Report, sgn.prc.cfg.Clock.Now())
+	now := sgn.prc.cfg.Clock.Now()
+	sgn.prc.guard.Merge(args.Report, now)
+	for _, sus := range args.Report.Suspicions {
+		sgn.prc.tracker.Down(sus.Target, now)
+	}
 	return nil
 }
 
--- a/internal/steer/health/target.go
+++ b/internal/steer/health/target.go
@@ -95,6 +95,14 @@
 	}
 }
 
+// down notes that the target refuses connections. It gets no work for failingLife, unless a probe or request succeeds
+// before.
+func (tgt *target) down(now time.Time) {
+	tgt.failures = max(tgt.failures, failuresToAvoid)
+	tgt.failingUntil = now.Add(failingLife)
+	tgt.refresh(now)
+}
+
 // judge marks the target as slow when a request on it took age and the service's usual latency is known.
 func (tgt *target) judge(res Result, age, usual time.Duration, now time.Time) {
 	late := usual > 0 && age > route.StragglerFactor*usual
--- a/internal/steer/health/track.go
+++ b/internal/steer/health/track.go
@@ -206,6 +206,14 @@
 	})
 }
 
+// Down records that the target broke a connection and then refused a new one. It counts as failing at once.
+func (trk *Tracker) Down(tid cardamompass.TargetID, now time.Time) {
+	trk.update(tid, now, func(tgt *target) (fresh bool) {
+		tgt.down(now)
+		return false
+	})
+}
+
 // Load records a load report. It is a hint for 5 s.
 func (trk *Tracker) Load(tid cardamompass.TargetID, inFlight, slots int, now time.Time) {
 	trk.update(tid, now, func(tgt *target) (fresh bool) {
