engine: try a refused hedge again within the hedge delay

Cause: attempts of 700 ms on stragglers carried no hedge: of the late attempts of a 4 s load 77 tries found waiting requests ('no-room') and were repeated only after another whole delay of 127 ms, 75 were hedged. Change: a late attempt without room for its hedge tries again after an eighth of the delay.

--- a/internal/edge/engine/execute.go
+++ b/internal/edge/engine/execute.go
@@ -17,6 +17,10 @@
 // maxAttempts bounds the attempts of one request, hedges not counted.
 const maxAttempts = 4
 
+// hedgeTries is the number of tries in each hedge delay for a late attempt that had no room for its hedge. Rooms come and go
+// within a service time, so that a second try only after a whole delay leaves attempts on stragglers for several delays.
+const hedgeTries = 8
+
 // Execute runs a request on a target and returns its answer, which the caller must close.
 func (eng *Engine) Execute(ctx context.Context, req cardamompass.Request) (ans cardamompass.Answer, err error) {
 	if _, err := eng.Service(req.Service); err != nil {
@@ -169,7 +173,7 @@
 			hdg, ok := rqt.tryHedge(clm, delay)
 			if !ok {
 				if running == 1 {
-					tmr = rqt.eng.cfg.Clock.NewTimer(delay)
+					tmr = rqt.eng.cfg.Clock.NewTimer(max(budget.MinHedgeDelay, delay/hedgeTries))
 				}
 				continue
 			}
