--- a/internal/load/bench/cost.go
+++ b/internal/load/bench/cost.go
@@ -96,7 +96,7 @@
 	}
 	through := sit.sender(ask{
 		service: demo.Short,
-		region:  always(gulf),
+		region:  fromGulf,
 		prefix:  "cost-",
 		timeout: requestTimeout,
 		seed:    cfg.Seed,
--- a/internal/load/bench/site.go
+++ b/internal/load/bench/site.go
@@ -229,6 +229,5 @@
 	return count
 }
 
-func always(reg cardamompass.Region) func(num int) cardamompass.Region {
-	return func(int) cardamompass.Region { return reg }
-}
+// fromGulf makes all requests of a stream those of gulf callers.
+func fromGulf(int) cardamompass.Region { return gulf }
--- a/internal/load/bench/stragglers.go
+++ b/internal/load/bench/stragglers.go
@@ -92,7 +92,7 @@
 		seed:     cfg.Seed + 1000,
 		send: sit.sender(ask{
 			service:   demo.Short,
-			region:    always(gulf),
+			region:    fromGulf,
 			prefix:    "warm-",
 			timeout:   requestTimeout,
 			serviceMS: stragglerMS,
@@ -109,7 +109,7 @@
 	lod.duration, lod.seed = cfg.Duration, cfg.Seed
 	lod.send = sit.sender(ask{
 		service:   demo.Short,
-		region:    always(gulf),
+		region:    fromGulf,
 		prefix:    "req-",
 		timeout:   requestTimeout,
 		serviceMS: stragglerMS,
--- a/internal/load/bench/times.go
+++ b/internal/load/bench/times.go
@@ -122,7 +122,7 @@
 			seed:     cfg.Seed,
 			send: sit.sender(ask{
 				service:   demo.Short,
-				region:    always(gulf),
+				region:    fromGulf,
 				prefix:    "times-",
 				timeout:   requestTimeout,
 				serviceMS: timesMS,
