--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -100,6 +100,12 @@
 	}
 }
 
+// undivided returns cfg for a test that ends no entry VM, and so need not wait until the caps are divided.
+func undivided(cfg procs.Config) procs.Config {
+	cfg.Undivided = true
+	return cfg
+}
+
 func shortRequest(id string) caller.Request {
 	return caller.Request{
 		ID:         cardamompass.RequestID(id),
--- a/internal/stand/procs/site.go
+++ b/internal/stand/procs/site.go
@@ -52,6 +52,8 @@
 	StoreProxies  bool
 	PeerProxies   bool
 	TargetProxies bool
+	// Undivided lets New return before the caps are divided among the entry VMs, see AwaitDivided.
+	Undivided bool
 }
 
 // Store is the store's process. Address is its own, before any proxy.
@@ -94,7 +96,8 @@
 	cleanups []func()
 }
 
-// New starts a site, puts its catalogue into the store and waits until all entry VMs are ready. The clean-up function
+// New starts a site, puts its catalogue into the store and waits until all entry VMs are ready and the
+// caps are divided. The clean-up function
 // ends all processes and proxies.
 func New(cfg Config) (sit *Site, cleanup func(), err error) {
 	defer func() { err = errors.Wrap(err, "start site of processes") }()
@@ -102,7 +105,11 @@
 		Targets: make(map[cardamompass.TargetID]*Target),
 		cfg:     cfg,
 	}
-	for _, step := range []func() error{sit.startPlatform, sit.startTargets, sit.startVMs, sit.AwaitReady} {
+	steps := []func() error{sit.startPlatform, sit.startTargets, sit.startVMs, sit.AwaitReady}
+	if !cfg.Undivided {
+		steps = append(steps, sit.AwaitDivided)
+	}
+	for _, step := range steps {
 		if err := step(); err != nil {
 			err = errors.WithMessage(err, sit.Tails(10))
 			sit.cleanup()
--- a/internal/stand/procs/start.go
+++ b/internal/stand/procs/start.go
@@ -192,3 +192,30 @@
 	}
 	return ""
 }
+
+// AwaitDivided waits until every entry VM that runs owns at least half of an equal part of each cap. The first VM of a new
+// site owns all of them until its next visits of the ledgers; if it is killed before, nobody owns them while its lease
+// lives.
+func (sit *Site) AwaitDivided() (err error) { return Await(readyTime, sit.undivided) }
+
+func (sit *Site) undivided() (missing string) {
+	var states []entry.State
+	for _, vmp := range sit.VMs {
+		if !vmp.Running() {
+			continue
+		}
+		sta, err := vmp.State()
+		if err != nil {
+			return err.Error()
+		}
+		states = append(states, sta)
+	}
+	for _, sta := range states {
+		for _, res := range sta.Shares.Resources {
+			if least := res.Capacity / int64(2*len(states)); res.Owned < least {
+				return fmt.Sprintf("%s owns %d of %d units of %s", sta.VM.ID, res.Owned, res.Capacity, res.Name)
+			}
+		}
+	}
+	return ""
+}
