--- a/internal/fleet/share/pool.go
+++ b/internal/fleet/share/pool.go
@@ -25,7 +25,7 @@
 	// visitBase and visitPerMember give the time between two visits of a ledger, so that the visits of the whole fleet
 	// stay a constant load on the store.
 	visitBase      = 5 * time.Second
-	visitPerMember = 1400 * time.Millisecond
+	visitPerMember = 2800 * time.Millisecond
 	// unevenBase and unevenPerMember take their place while units are divided unevenly.
 	unevenBase      = time.Second
 	unevenPerMember = 50 * time.Millisecond
@@ -208,7 +208,7 @@
 // runVisits keeps the lease, visits every ledger now and then, and those soon that are divided unevenly.
 func (pol *Pool) runVisits(ctx context.Context) {
 	pol.Visit(ctx)
-	full := pol.cfg.Clock.Now().Add(pol.jittered(visitBase, visitPerMember))
+	full := pol.nextFull()
 	for {
 		next := full
 		if due, ok := pol.dueAt(); ok && due.Before(full) {
@@ -229,12 +229,17 @@
 				break
 			}
 			pol.Visit(ctx)
-			full = pol.cfg.Clock.Now().Add(pol.jittered(visitBase, visitPerMember))
+			full = pol.nextFull()
 		}
 		tmr.Stop()
 	}
 }
 
+// nextFull returns the time of the next visit of all ledgers. Visits also renew the lease, so several fit into its time.
+func (pol *Pool) nextFull() time.Time {
+	return pol.cfg.Clock.Now().Add(min(pol.jittered(visitBase, visitPerMember), pol.cfg.LeaseTTL/4))
+}
+
 // jittered returns a time around base plus perMember for each member of the fleet.
 func (pol *Pool) jittered(base, perMember time.Duration) time.Duration {
 	interval := base + time.Duration(len(pol.cfg.Members.Members())*int(perMember))
--- a/internal/steer/health/probe.go
+++ b/internal/steer/health/probe.go
@@ -21,8 +21,8 @@
 	DefaultProbeTimeout = 500 * time.Millisecond
 	// DefaultProbesPerSecond bounds the probes of one VM. A larger number of targets lengthens the interval.
 	DefaultProbesPerSecond = 40
-	// MinProbesPerSecond is the rate of one VM in a large fleet: 463 bytes a probe are 4.6 KB/s.
-	MinProbesPerSecond = 10
+	// MinProbesPerSecond is the rate of one VM in a large fleet: 463 bytes a probe are 2.8 KB/s.
+	MinProbesPerSecond = 6
 	// fleetProbesPerSecond is the rate of the whole fleet up to which each VM probes at the full rate.
 	fleetProbesPerSecond = 400
 	// probeJitter is the part of the interval by which it varies, so that the VMs do not probe in step.
@@ -91,7 +91,7 @@
 }
 
 // SetFleet tells the number of entry VMs. Beyond ten of them each VM probes less often, since a VM tells others what it finds, down
-// to MinProbesPerSecond, which takes half of the 10 KB/s that a VM may spend on control.
+// to MinProbesPerSecond, which leaves room for the other roles in the 10 KB/s that a VM may spend on control.
 func (prb *Prober) SetFleet(members int) {
 	prb.mut.Lock()
 	defer prb.mut.Unlock()
