share: take up the units of a VM that left within seconds in a small fleet

Cause: with rarer visits a planned stop of one of seven VMs left its units unused for up to 37 s. Change: up to 30 members, every change of the membership makes all ledgers due within about two seconds.

--- a/internal/edge/entry/follow.go
+++ b/internal/edge/entry/follow.go
@@ -82,6 +82,7 @@
 			}
 			prc.refreshLookups()
 			prc.engine.MembersChanged()
+			prc.pool.MembersChanged()
 			prc.prober.SetFleet(len(prc.members.Members()))
 			prc.prober.SetTargets(prc.engine.Targets())
 		}
--- a/internal/fleet/share/pool.go
+++ b/internal/fleet/share/pool.go
@@ -31,6 +31,9 @@
 	unevenPerMember = 50 * time.Millisecond
 	// visitTries bounds the tries of one visit that loses its compare-and-swap.
 	visitTries = 5
+	// smallFleet is the number of members up to which all visit the ledgers after a change: 30 VMs read 44 ledgers within
+	// 2.5 s, 530 reads a second.
+	smallFleet = 30
 	// leaseMemory is the time for which a lease that was seen alive is not asked for again. An owner that died holds its
 	// units for the whole lease anyhow, and one read for each ledger and visit is beyond the store's rate when many died.
 	leaseMemory = 5 * time.Minute
@@ -246,6 +249,17 @@
 	return interval/2 + time.Duration(pol.cfg.Random(int64(interval)))
 }
 
+// MembersChanged makes all ledgers be visited soon in a small fleet, so that the units of a VM that left are taken up within seconds.
+// In a larger one that would be more reads than the store takes, and the units are a small part.
+func (pol *Pool) MembersChanged() {
+	if len(pol.cfg.Members.Members()) > smallFleet {
+		return
+	}
+	for _, name := range pol.names() {
+		pol.setDue(name)
+	}
+}
+
 // setDue makes a ledger be visited soon, because it is divided unevenly or another VM lacks its units.
 func (pol *Pool) setDue(name string) {
 	at := pol.cfg.Clock.Now().Add(pol.jittered(unevenBase, unevenPerMember))
