share: lend nothing once a planned stop has begun

Cause: a VM that stops went on lending until its last moment; its lent slots then stayed in the ledger for an hour, and at least for the longest time of a request. Stops one after the other left the long service of a region without slots.

--- a/internal/edge/entry/stop.go
+++ b/internal/edge/entry/stop.go
@@ -24,6 +24,7 @@
 	prc.cfg.Log.Info("planned stop begins")
 	prc.leaving.Store(true)
 	prc.members.AnnounceLeaving()
+	prc.pool.StopLending()
 	prc.refreshLookups()
 	// An answer that names this VM may be given until the announcement is everywhere, and is used for its max-age after that.
 	prc.sleep(ctx, prc.cfg.Settings.LookupMaxAge+announceTime)
--- a/internal/fleet/share/pool.go
+++ b/internal/fleet/share/pool.go
@@ -62,9 +62,11 @@
 
 // Pool holds this incarnation's part of every resource.
 type Pool struct {
-	cfg      Config
-	lease    atomic.Pointer[heldLease]
-	leaving  atomic.Bool
+	cfg     Config
+	lease   atomic.Pointer[heldLease]
+	leaving atomic.Bool
+	// lendsNot is set when a planned stop begins: units that are lent at its end stay unused after it.
+	lendsNot atomic.Bool
 	sequence atomic.Uint64
 	mtx      sync.Mutex
 	cells    map[string]*cell
@@ -386,6 +388,9 @@
 	return own
 }
 
+// StopLending refuses loans and their renewal from now on, so that lent units are back when Release is called.
+func (pol *Pool) StopLending() { pol.lendsNot.Store(true) }
+
 // Release gives all units back to the ledgers, for a planned stop. Units that are still lent or in use stay in the ledger
 // until the lease lapses. The Pool is of no use afterwards.
 func (pol *Pool) Release(ctx context.Context) (err error) {
--- a/internal/fleet/share/service.go
+++ b/internal/fleet/share/service.go
@@ -68,7 +68,7 @@
 func (svc *Service) Borrow(args *BorrowArgs, reply *BorrowReply) (err error) {
 	pol := svc.pol
 	cel := pol.cell(args.Resource)
-	if cel == nil || pol.leaving.Load() {
+	if cel == nil || pol.leaving.Load() || pol.lendsNot.Load() {
 		return nil
 	}
 	pty := party{
--- a/internal/fleet/share/share_test.go
+++ b/internal/fleet/share/share_test.go
@@ -397,3 +397,34 @@
 	}
 	return lent()
 }
+
+// Guards against slots that stay in the ledger after a planned stop because they were lent when it ended.
+func TestStopBringsLentSlotsBack(t *testing.T) {
+	wld := newWorld(*seed, 7)
+	for range 400 {
+		wld.tick(func(*vm) int { return 0 })
+	}
+	busy, stopping := wld.vms[0], wld.vms[1]
+	demand := func(one *vm) int {
+		if one == busy {
+			return 60
+		}
+		return 0
+	}
+	for range 20 {
+		wld.tick(demand)
+	}
+	stopping.pol.StopLending()
+	// A loan ends after 2 s and the work on it after 5 s more.
+	for range 80 {
+		wld.tick(demand)
+	}
+	if err := stopping.pol.Release(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	for _, res := range stopping.pol.State().Resources {
+		if res.Owned != 0 {
+			t.Errorf("%s: %d units stay in the ledger", res.Name, res.Owned)
+		}
+	}
+}
