--- a/internal/proof/answers_test.go
+++ b/internal/proof/answers_test.go
@@ -57,12 +57,12 @@
 }
 
 // ask sends requests, some of which ask for faulty answers.
-func ask(sit *procs.Site, rnd *rand.Rand, fls *failures, tly *tally, count int, make func(id string) caller.Request) {
+func ask(sit *procs.Site, rnd *rand.Rand, fls *failures, tly *tally, count int, newRequest func(id string) caller.Request) {
 	clr, stop := sit.Caller("gulf")
 	defer stop()
 	name := rnd.Uint64()
 	for num := range count {
-		req := make(fmt.Sprintf("%x-%d", name, num))
+		req := newRequest(fmt.Sprintf("%x-%d", name, num))
 		if flt := answerFaults[rnd.IntN(len(answerFaults))]; flt != "" {
 			req.Header = http.Header{
 				target.HeaderFault: {string(flt)},
--- a/internal/proof/stop_test.go
+++ b/internal/proof/stop_test.go
@@ -23,7 +23,7 @@
 }
 
 // follow sends requests of one kind, each once, to the entry VM that a look-up answer names first while it may be used.
-func (lod *stopLoad) follow(ctx context.Context, reg cardamompass.Region, name string, make func(id string) caller.Request) {
+func (lod *stopLoad) follow(ctx context.Context, reg cardamompass.Region, name string, newRequest func(id string) caller.Request) {
 	var entries []string
 	for _, vmp := range lod.sit.VMs {
 		entries = append(entries, vmp.CallerAddress)
@@ -35,7 +35,7 @@
 	})
 	defer stop()
 	for seq := 0; ctx.Err() == nil; seq++ {
-		req := make(fmt.Sprintf("%s-%s-%d", reg, name, seq))
+		req := newRequest(fmt.Sprintf("%s-%s-%d", reg, name, seq))
 		began := time.Now()
 		rsp, err := clr.Do(context.Background(), req)
 		lod.sent.Add(1)
