share: give every owner a slot when there are enough

Cause: An owner without units counted as short only below half of an equal part, which rounds to zero when the part is one slot. With 12 slots and seven entry VMs, six held two slots each and the seventh none, and nobody lowered its entry: TestCrashesUnreachablePeer waited 2 min for a division. Ruled out: slow visits (nothing changed within 2 min). Change: An owner without units counts as short when its part is one unit. Measured: TestSlotsForEachOwner fails before and passes after. go test -race ./internal/fleet/... passes. Conclusion: Each owner gets a slot where there are as many slots as owners.

--- a/internal/fleet/share/ledger.go
+++ b/internal/fleet/share/ledger.go
@@ -197,11 +197,11 @@
 	return sum <= capacity
 }
 
-// starved reports whether another owner has less than half of an equal part. Owners lower their entries only then, so that
+// starved reports whether another owner has less than half of an equal part, or nothing. Owners lower their entries only then, so that
 // small changes in the number of owners cause no writes.
 func (led Ledger) starved(own Owner, part int64) bool {
 	return slices.ContainsFunc(led.Entries, func(ent Entry) bool {
-		return !ent.same(own) && ent.Units < part/2
+		return !ent.same(own) && ent.Units < max(1, part/2)
 	})
 }
 
--- a/internal/fleet/share/share_test.go
+++ b/internal/fleet/share/share_test.go
@@ -268,6 +268,36 @@
 	}
 }
 
+// Guards against an owner that stays without any slot while another owner has two and its equal part is one.
+func TestSlotsForEachOwner(t *testing.T) {
+	led := share.Ledger{
+		Capacity:         12,
+		CatalogueVersion: 1,
+	}
+	for num, units := range []int64{0, 2, 2, 2, 2, 2, 2} {
+		led = led.WithEntry(share.Entry{
+			Owner: share.Owner{VM: "vm", Incarnation: cardamompass.Incarnation(num)},
+			Units: units,
+		})
+	}
+	for range 3 {
+		for _, ent := range led.Entries {
+			led = led.Plan(share.Visit{
+				Owner:            ent.Owner,
+				Resource:         share.Resource{Kind: share.KindSlots, Capacity: 12},
+				CatalogueVersion: 1,
+				Held:             led.Units(ent.Owner),
+				Gone:             func(share.Entry) bool { return false },
+			})
+		}
+	}
+	for _, ent := range led.Entries {
+		if ent.Units == 0 {
+			t.Fatalf("an owner has no slot: %+v", led)
+		}
+	}
+}
+
 // Guards against a plan that raises the sum above the capacity, touches another owner's units, or takes more than is held.
 func TestPlanProperties(t *testing.T) {
 	params := gopter.DefaultTestParametersWithSeed(*seed)
