relay, share: pay for a long answer before it can be sent; keep room for members without an entry

Cause: a chunk of a long answer was paid after it had been read, when the system's receive buffers had taken megabytes of the rest: 46 MB in a second under a cap of 20 MB (TestLinkCap). The first VM of a new site took every unit, which were lost when it died before the first division (TestKillBeforeDivision). Change: connections for long answers have a receive buffer of 64 KiB, and its doubled size plus a chunk is paid before the request is sent. A VM counts alive members without an entry when it works out its part. The two tests above are run next. Conclusion: open until they have run.

--- a/internal/edge/engine/attempt.go
+++ b/internal/edge/engine/attempt.go
@@ -136,10 +136,17 @@
 	eng.cfg.Report(ctx, rep)
 }
 
-// payRequest spends link units for the request's bytes on every link that they cross.
+// payRequest spends link units for the request's bytes on every link that they cross. For a long answer it also spends those that the
+// target can send before the first chunk is paid.
 func (rqt *request) payRequest(ctx context.Context, clm *claim) (err error) {
 	size := len(rqt.req.Body) + headerBytes
-	return rqt.payLinks(ctx, size, clm.target.Region, true)
+	if err := rqt.payLinks(ctx, size, clm.target.Region, true); err != nil {
+		return err
+	}
+	if rqt.sta.svc.Class != cardamompass.ClassLong {
+		return nil
+	}
+	return rqt.payLinks(ctx, relay.UnpacedBytes, clm.target.Region, false)
 }
 
 // pace returns the function that spends link units for an answer, nil if the answer crosses no link.
--- a/internal/edge/relay/pool.go
+++ b/internal/edge/relay/pool.go
@@ -8,6 +8,10 @@
 	"cardamompass"
 )
 
+// longReadBuffer is the receive buffer of a connection for long answers; the system takes twice that. It is small, because a target
+// can send ahead of Pace what the buffer holds.
+const longReadBuffer = 64 << 10
+
 // poolKey separates the connections of each target and class.
 type poolKey struct {
 	address string
@@ -48,18 +52,24 @@
 		pol.transport.CloseIdleConnections()
 	}
 	pol = &pool{
-		transport: rly.transport(bound),
+		transport: rly.transport(bound, cls),
 		bound:     bound,
 	}
 	rly.pools[key] = pol
 	return pol, nil
 }
 
-func (rly *Relay) transport(bound int) *http.Transport {
+func (rly *Relay) transport(bound int, cls cardamompass.Class) *http.Transport {
+	readBuffer := 0
+	if cls == cardamompass.ClassLong {
+		readBuffer = longReadBuffer
+	}
 	prt := new(http.Protocols)
 	prt.SetHTTP1(true)
 	return &http.Transport{
-		DialContext:            rly.dial,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return rly.dial(ctx, network, address, readBuffer)
+		},
 		DisableCompression:     true,
 		MaxConnsPerHost:        bound,
 		MaxIdleConnsPerHost:    bound,
@@ -70,8 +80,8 @@
 }
 
 // dial opens a connection. net/http lets a dial go on after the request that started it has ended; it then ends with
-// the relay or at the dial timeout.
-func (rly *Relay) dial(ctx context.Context, network, address string) (con net.Conn, err error) {
+// the relay or at the dial timeout. A readBuffer of 0 leaves the size of the receive buffer to the system.
+func (rly *Relay) dial(ctx context.Context, network, address string, readBuffer int) (con net.Conn, err error) {
 	rly.mu.Lock()
 	if err = rly.ctx.Err(); err != nil {
 		rly.mu.Unlock()
@@ -88,6 +98,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := raw.(*net.TCPConn); ok && readBuffer > 0 {
+		if err = tcp.SetReadBuffer(readBuffer); err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+	}
 	return rly.adopt(raw), nil
 }
 
--- a/internal/edge/relay/probe.go
+++ b/internal/edge/relay/probe.go
@@ -38,7 +38,7 @@
 // Probe opens and closes one new connection to tgt, outside its pools. After an UnknownOutcomeError with Broken set it
 // tells a crash of the target from a cut of one connection.
 func (rly *Relay) Probe(ctx context.Context, tgt cardamompass.Target) (rch Reach) {
-	con, err := rly.dial(ctx, "tcp", tgt.Address)
+	con, err := rly.dial(ctx, "tcp", tgt.Address, 0)
 	switch {
 	case err == nil:
 		con.Close() //nolint:errcheck // nothing was sent
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -24,6 +24,9 @@
 const (
 	// ChunkBytes is the most that is read from a target between two calls of Pace.
 	ChunkBytes = 32 << 10
+	// UnpacedBytes is the most of a long answer that a target can send ahead of Pace: a receive buffer of 128 KiB and a
+	// chunk that was read.
+	UnpacedBytes = 192 << 10
 
 	defaultDialTimeout    = 500 * time.Millisecond
 	defaultIdleTimeout    = 30 * time.Second
--- a/internal/fleet/share/ledger.go
+++ b/internal/fleet/share/ledger.go
@@ -128,6 +128,9 @@
 	// Held is the number of units that the visitor holds itself to own. It is below the ledger's figure after a write whose
 	// answer was lost, and after the store was restored to an older state. The smaller figure counts.
 	Held int64
+	// Absent is the number of alive members that have no entry yet. Room is kept for them, so that the first owner does not
+	// take everything.
+	Absent int64
 	// Floor is the number of own units that can't be given up now: they are in use or lent.
 	Floor int64
 	// Succeeds is set when loans that a predecessor of the visitor on the same VM made have certainly ended. Its entry can
@@ -244,13 +247,22 @@
 	return pos >= 0 && 2*led.Entries[pos].Units < parts[pos]
 }
 
-// partOf returns the visitor's part of the capacity among the present owners.
+// partOf returns the visitor's part of the capacity among the present owners and the absent members, which count with the
+// visitor's weight.
 func partOf(led Ledger, vis Visit, capacity int64) int64 {
 	withSelf := led.WithEntry(Entry{
 		Owner:  vis.Owner,
 		Weight: vis.Resource.Weight,
 	})
 	pos := slices.IndexFunc(withSelf.Entries, func(ent Entry) bool { return ent.same(vis.Owner) })
+	for num := range vis.Absent {
+		withSelf.Entries = append(withSelf.Entries, Entry{
+			Owner: Owner{
+				Incarnation: cardamompass.Incarnation(num),
+			},
+			Weight: vis.Resource.Weight,
+		})
+	}
 	return max(withSelf.parts(capacity)[pos], min(vis.Resource.minUnits(), capacity))
 }
 
--- a/internal/fleet/share/visit.go
+++ b/internal/fleet/share/visit.go
@@ -129,6 +129,7 @@
 		Resource:         cel.res,
 		CatalogueVersion: version,
 		Held:             cel.units,
+		Absent:           pol.absent(led),
 		Floor:            floor,
 		Gone:             func(ent Entry) bool { return gone[ent.Owner] },
 		Stuck:            func(ent Entry) bool { return stuck[ent.Owner] },
@@ -137,6 +138,22 @@
 	return next, cel.doubt
 }
 
+// absent returns the number of other alive members that have no entry in a ledger.
+func (pol *Pool) absent(led Ledger) (count int64) {
+	for _, mbr := range pol.cfg.Members.Members() {
+		if mbr.State != cardamompass.StateAlive || mbr.VM.ID == pol.cfg.Owner.VM {
+			continue
+		}
+		present := slices.ContainsFunc(led.Entries, func(ent Entry) bool {
+			return ent.VM == mbr.VM.ID && ent.Incarnation == mbr.VM.Incarnation
+		})
+		if !present {
+			count++
+		}
+	}
+	return count
+}
+
 // settle applies the result of the write of next at revision.
 func (pol *Pool) settle(cel *cell, next Ledger, revision int64, werr error) (done bool, err error) {
 	var cfl *cardamompass.ConflictError
