--- a/internal/stand/procs/start.go
+++ b/internal/stand/procs/start.go
@@ -193,7 +193,11 @@
 	return ""
 }
 
-// AwaitDivided waits until every entry VM that runs owns at least half of an equal part of each cap. The first VM of a new
+// divided is the part of an equal part of a cap, as a divisor, that a VM owns at least once the caps are divided: the smallest weight
+// is a quarter of the largest, and half of a part is enough.
+const divided = 8
+
+// AwaitDivided waits until every entry VM that runs owns at least an eighth of an equal part of each cap. The first VM of a new
 // site owns all of them until its next visits of the ledgers; if it is killed before, nobody owns them while its lease
 // lives.
 func (sit *Site) AwaitDivided() (err error) { return Await(readyTime, sit.undivided) }
@@ -212,7 +216,7 @@
 	}
 	for _, sta := range states {
 		for _, res := range sta.Shares.Resources {
-			if least := res.Capacity / int64(2*len(states)); res.Owned < least {
+			if least := res.Capacity / int64(divided*len(states)); res.Owned < least {
 				return fmt.Sprintf("%s owns %d of %d units of %s", sta.VM.ID, res.Owned, res.Capacity, res.Name)
 			}
 		}
