share: let a VM of another region give up its only slot

Cause: every owner counted one slot as its least part. With 6 slots and seven VMs, four of other regions held one each and a VM of the region had none, and nobody lowered its entry; tests waited two minutes for a division. Change: the part of slots is that of the weights, which may be none. Measured: TestCrashes waited without end for the division before, and passes after (divided 9 s after the site was ready); tests of share pass. Conclusion: fixed.

--- a/internal/fleet/share/ledger.go
+++ b/internal/fleet/share/ledger.go
@@ -263,7 +263,12 @@
 			Weight: vis.Resource.Weight,
 		})
 	}
-	return max(withSelf.parts(capacity)[pos], min(vis.Resource.minUnits(), capacity))
+	part := withSelf.parts(capacity)[pos]
+	if vis.Resource.Kind == KindSlots {
+		// A VM of another region gives its only slot up while one of this region has none.
+		return part
+	}
+	return max(part, min(vis.Resource.minUnits(), capacity))
 }
 
 // Equal reports whether two ledgers hold the same division.
