--- /dev/null
+++ b/cmd/entryvm/main.go
@@ -0,0 +1,36 @@
+// Command entryvm is the process of an entry VM on the users' platform.
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// commands is the command line.
+type commands struct {
+	Serve ServeCmd `cmd:"" default:"withargs" help:"Run the entry VM."`
+	Check CheckCmd `cmd:"" help:"Check a settings file in the platform's format."`
+}
+
+func main() {
+	var cmd commands
+	kctx := kong.Parse(&cmd,
+		kong.Name("entryvm"),
+		kong.Description("An entry VM of cardamompass on the users' platform."),
+	)
+	kctx.FatalIfErrorf(kctx.Run())
+}
+
+// CheckCmd checks a settings file.
+type CheckCmd struct {
+	File string `arg:"" help:"Settings file." type:"path"`
+}
+
+// settingsPath is the path of the settings file: the flag's value or that of the environment variable.
+func settingsPath(flag, variable string) (path string) {
+	if flag != "" {
+		return flag
+	}
+	return os.Getenv(variable)
+}
--- /dev/null
+++ b/internal/edge/direct/direct.go
@@ -0,0 +1,105 @@
+// Package direct answers look-ups on the users' platform: which entry VMs a caller should use.
+//
+// It names running VMs of the caller's region, those of its failure domain first. Traffic between failure domains and regions is priced,
+// and a route may be bound to regions. VMs of other regions are named only while the caller's region has none.
+package direct
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cardamompass"
+	"cardamompass/internal/fleet/view"
+)
+
+const (
+	// answerTTL is how long a caller may use an answer. A VM that stops is still asked for that long.
+	answerTTL = 2 * time.Second
+	// maxAddresses is the number of addresses that a caller reads.
+	maxAddresses = 64
+)
+
+// Config configures a Handler.
+type Config struct {
+	Self     cardamompass.VM
+	Protocol cardamompass.Protocol
+	// View returns the current view of the fleet.
+	View func() *view.View
+	// Stopping reports whether this VM stops, so that it must not name itself.
+	Stopping func() bool
+	MaxTTL   time.Duration
+	Log      *zap.Logger
+}
+
+// Handler answers look-ups. It is safe for concurrent use.
+type Handler struct{ cfg Config }
+
+// New returns a Handler.
+func New(cfg Config) (hnd *Handler) {
+	return &Handler{
+		cfg: cfg,
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (hnd *Handler) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
+	lkp := hnd.cfg.Protocol.Lookup(req.URL.Query())
+	ttl := answerTTL
+	if hnd.cfg.MaxTTL > 0 {
+		ttl = min(ttl, hnd.cfg.MaxTTL)
+	}
+	addresses := Addresses(hnd.running(), lkp)
+	body, err := hnd.cfg.Protocol.LookupAnswer(addresses, ttl)
+	if err != nil || len(addresses) == 0 {
+		hnd.cfg.Log.Warn("look-up refused", zap.Error(err), zap.Int("addresses", len(addresses)))
+		wrt.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	hnd.cfg.Log.Info("look-up answered", zap.String("name", lkp.Name), zap.String("failure-domain", string(lkp.FailureDomain)),
+		zap.Strings("addresses", addresses))
+	wrt.Header().Set("Content-Type", "application/json")
+	_, _ = wrt.Write(body) // a caller that has left asks again
+}
+
+// running returns the running VMs. This VM knows better than the store whether it runs.
+func (hnd *Handler) running() (vms []cardamompass.VM) {
+	for _, vmc := range hnd.cfg.View().VMs() {
+		if vmc.ID != hnd.cfg.Self.ID {
+			vms = append(vms, vmc)
+		}
+	}
+	if !hnd.cfg.Stopping() {
+		vms = append(vms, hnd.cfg.Self)
+	}
+	return vms
+}
+
+// Addresses returns where the caller of a look-up should connect, the nearest first.
+func Addresses(vms []cardamompass.VM, lkp cardamompass.Lookup) (addresses []string) {
+	near := slices.DeleteFunc(slices.Clone(vms), func(vmc cardamompass.VM) bool { return vmc.Region != lkp.Region })
+	if len(near) == 0 {
+		near = slices.Clone(vms)
+	}
+	slices.SortStableFunc(near, func(one, two cardamompass.VM) int {
+		return cmp.Or(cmp.Compare(distance(one, lkp), distance(two, lkp)), cmp.Compare(one.ID, two.ID))
+	})
+	for _, vmc := range near[:min(len(near), maxAddresses)] {
+		addresses = append(addresses, vmc.CallerAddress)
+	}
+	return addresses
+}
+
+func distance(vmc cardamompass.VM, lkp cardamompass.Lookup) (steps int) {
+	switch {
+	case vmc.FailureDomain == lkp.FailureDomain:
+		return 0
+	case vmc.Region == lkp.Region:
+		return 1
+	default:
+		return 2
+	}
+}
--- /dev/null
+++ b/internal/edge/front/job.go
@@ -0,0 +1,232 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"cardamompass"
+	"cardamompass/internal/edge/send"
+	"cardamompass/internal/steer/place"
+)
+
+const (
+	// maxUnsent bounds the targets that can't be reached or are not at their address for one request. Nothing was sent to them.
+	maxUnsent = 3
+	// leastTime is the least time left for which a request is sent once more.
+	leastTime = 50 * time.Millisecond
+)
+
+// job is the sending of one request to one target after the other, or to two at a time.
+type job struct {
+	exc    *exchange
+	msg    send.Message
+	object uint64
+	tried  []cardamompass.InstanceID
+	sent   int // requests that reached a target
+	unsent int // tries that ended before a target was reached
+	// mayHaveRun is set once a target may have run the request.
+	mayHaveRun bool
+	fallback   *send.Reply // a failure that a target answered
+}
+
+// attempt is one sending.
+type attempt struct {
+	chc    place.Choice
+	cancel context.CancelFunc
+	rep    send.Reply
+	err    error
+	start  time.Time
+}
+
+// do returns the answer to the request. After an error mayHaveRun says what is certain.
+func (run *job) do(ctx context.Context) (rep send.Reply, err error) {
+	results := make(chan *attempt, 2*maxUnsent+run.exc.route.MaxTargets)
+	under := make(map[*attempt]bool)
+	defer func() {
+		for atm := range under {
+			atm.cancel()
+		}
+	}()
+	launch := func() (err error) {
+		atm, err := run.launch(ctx, results)
+		if err == nil {
+			under[atm] = true
+		}
+		return err
+	}
+	if err = launch(); err != nil {
+		return rep, err
+	}
+	hedge := run.exc.frt.cfg.Clock.NewTimer(run.hedgeDelay())
+	defer hedge.Stop()
+	for {
+		select {
+		case atm := <-results:
+			delete(under, atm)
+			done := run.settle(atm)
+			if done {
+				return atm.rep, nil
+			}
+			if len(under) > 0 {
+				continue
+			}
+			if !run.again(ctx, atm) || launch() != nil {
+				return run.last(atm)
+			}
+		case <-hedge.C():
+			if run.mayHedge() {
+				_ = launch() // without a second target the first one is awaited
+			}
+		case <-ctx.Done():
+			return rep, &send.Failure{
+				Kind: send.KindCancelled,
+				Err:  ctx.Err(),
+			}
+		}
+	}
+}
+
+// last returns what is left when no target answered well: a failure of a target, or the failure of the last attempt.
+func (run *job) last(atm *attempt) (rep send.Reply, err error) {
+	if run.fallback != nil {
+		return *run.fallback, nil
+	}
+	return rep, atm.err
+}
+
+// launch chooses a target and starts to send.
+func (run *job) launch(ctx context.Context, results chan<- *attempt) (atm *attempt, err error) {
+	frt := run.exc.frt
+	now := frt.cfg.Clock.Now()
+	chc, ok := frt.cfg.Board.Choose(place.Query{
+		Service: run.exc.service,
+		Object:  run.object,
+		Route:   run.exc.route,
+		Tried:   run.tried,
+		Now:     now,
+	})
+	if !ok {
+		return nil, errors.Errorf("no target of %s can be used: %+v", run.exc.service, chc.Rejected)
+	}
+	frt.cfg.Board.Sent(chc.Instance.ID, now)
+	run.tried = append(run.tried, chc.Instance.ID)
+	sctx, cancel := context.WithDeadline(ctx, run.msg.Deadline)
+	atm = &attempt{
+		chc:    chc,
+		cancel: cancel,
+		start:  now,
+	}
+	run.exc.log.Info("request sent", zap.String("target", string(chc.Instance.ID)), zap.Int("rank", chc.Rank),
+		zap.Float64("expected", chc.Expected), zap.Float64("load", chc.Load), zap.Duration("load-age", chc.LoadAge),
+		zap.Bool("warm", chc.Warm), zap.Bool("cold", chc.Cold), zap.Any("rejected", chc.Rejected))
+	go func() {
+		defer cancel()
+		atm.rep, atm.err = frt.cfg.Sender.Do(sctx, chc.Instance, run.msg)
+		frt.settled(run.object, atm)
+		results <- atm
+	}()
+	return atm, nil
+}
+
+// settle takes the end of an attempt and reports whether its answer is the one to give.
+func (run *job) settle(atm *attempt) (done bool) {
+	var fai *send.Failure
+	if atm.err == nil {
+		run.sent++
+		run.mayHaveRun = true
+		if atm.rep.Status < http.StatusInternalServerError && !promise(atm.rep.Status) {
+			return true
+		}
+		if !promise(atm.rep.Status) {
+			run.fallback = &atm.rep
+		}
+		atm.err = &send.Failure{
+			Kind:     send.KindBroken,
+			Answered: true,
+			Err:      errors.Errorf("the target answered %d", atm.rep.Status),
+		}
+		return false
+	}
+	errors.As(atm.err, &fai)
+	run.exc.log.Info("attempt failed", zap.String("target", string(atm.chc.Instance.ID)), zap.String("kind", string(fai.Kind)),
+		zap.Bool("not-run", fai.NotRun), zap.Error(fai.Err), zap.Duration("took", run.exc.frt.cfg.Clock.Now().Sub(atm.start)))
+	if fai.NotRun && !fai.Answered {
+		run.unsent++
+		return false
+	}
+	run.sent++
+	run.mayHaveRun = run.mayHaveRun || !fai.NotRun
+	return false
+}
+
+// promise reports whether callers take a status to mean that the request has not run. A target that means that says so in a header,
+// and its answer never gets here.
+func promise(status int) (ok bool) {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+// again reports whether the request may be sent once more after an attempt.
+func (run *job) again(ctx context.Context, atm *attempt) (ok bool) {
+	frt := run.exc.frt
+	now := frt.cfg.Clock.Now()
+	if ctx.Err() != nil || run.msg.Deadline.Sub(now) < leastTime {
+		return false
+	}
+	if run.mayHaveRun && !run.exc.route.Idempotent {
+		return false
+	}
+	if run.unsent >= maxUnsent || run.sent >= run.exc.route.MaxTargets {
+		return false
+	}
+	if run.sent > 0 && !frt.retries(run.exc.service).TakeExtra(now) {
+		run.exc.log.Info("repeat not allowed", zap.String("reason", "budget"))
+		return false
+	}
+	return true
+}
+
+// settled tells the board what became of an attempt.
+func (frt *Front) settled(object uint64, atm *attempt) {
+	out := place.Outcome{
+		Instance: atm.chc.Instance.ID,
+		Object:   object,
+		Load:     atm.rep.Stated.Load,
+	}
+	var fai *send.Failure
+	if errors.As(atm.err, &fai) {
+		out.Result = resultOf(fai)
+		out.Load = fai.Stated.Load
+	} else if atm.rep.Status >= http.StatusInternalServerError {
+		out.Result = place.ResultFailed
+	}
+	frt.cfg.Board.Done(out, frt.cfg.Clock.Now())
+	frt.met.attempt(out.Result)
+}
+
+func resultOf(fai *send.Failure) (res place.Result) {
+	switch fai.Kind {
+	case send.KindShed:
+		return place.ResultShed
+	case send.KindOther:
+		return place.ResultGone
+	case send.KindConnect, send.KindRefused:
+		return place.ResultUnreachable
+	case send.KindTimeout:
+		return place.ResultSilent
+	case send.KindCancelled:
+		return place.ResultDropped
+	case send.KindBroken, send.KindGarbled:
+		return place.ResultFailed
+	default:
+		return place.ResultFailed
+	}
+}
--- /dev/null
+++ b/internal/edge/front/metric.go
@@ -0,0 +1,43 @@
+package front
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"cardamompass"
+	"cardamompass/internal/obs/metric"
+	"cardamompass/internal/steer/place"
+)
+
+// metrics are the counters and histograms of a Front.
+type metrics struct {
+	scope   tally.Scope
+	refused tally.Counter
+}
+
+func newMetrics(scp tally.Scope) (met metrics) {
+	return metrics{
+		scope:   scp,
+		refused: scp.Counter("refused-early"),
+	}
+}
+
+func (met metrics) finished(rte *cardamompass.Route, outcome string, ela time.Duration) {
+	scp := met.scope.Tagged(map[string]string{
+		"priority":   strconv.Itoa(rte.Priority),
+		"idempotent": strconv.FormatBool(rte.Idempotent),
+		"outcome":    outcome,
+	})
+	scp.Counter("requests").Inc(1)
+	scp.Histogram("request-seconds", metric.LatencyBuckets()).RecordDuration(ela)
+}
+
+func (met metrics) attempt(res place.Result) {
+	met.scope.Tagged(map[string]string{
+		"result": res.String(),
+	}).Counter("attempts").Inc(1)
+}
+
+func formatWeight(weight float64) (text string) { return strconv.FormatFloat(weight, 'g', -1, 64) }
--- /dev/null
+++ b/internal/edge/node/node.go
@@ -0,0 +1,242 @@
+// Package node is the process of an entry VM on the users' platform. It connects the parts: it follows the store, announces the VM,
+// serves callers and look-ups, says whether it is ready, and carries out a planned stop.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"cardamompass"
+	"cardamompass/internal/edge/direct"
+	"cardamompass/internal/edge/front"
+	"cardamompass/internal/edge/send"
+	"cardamompass/internal/fleet/view"
+	"cardamompass/internal/obs/metric"
+	"cardamompass/internal/steer/place"
+)
+
+const (
+	// metricsAddress is where metrics are served. The deploy file names the port.
+	metricsAddress = ":9464"
+	// trimInterval is the time between two looks for idle connections that are too old.
+	trimInterval = time.Second
+	// headerTimeout bounds the reading of a caller's header until the routing table says more.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long a caller's idle connection is kept. Callers reuse theirs for less than the table's limit.
+	idleTimeout = 60 * time.Second
+	// targetSilence ends a connection to a target that does not confirm what was sent.
+	targetSilence = 1500 * time.Millisecond
+)
+
+// Config configures a Node.
+type Config struct {
+	Settings cardamompass.VMSettings
+	Protocol cardamompass.Protocol
+	Registry cardamompass.Registry
+	Clock    cardamompass.Clock
+	Log      *zap.Logger
+	Metrics  *metric.Metrics
+	// Incarnation distinguishes the runs of the process.
+	Incarnation cardamompass.Incarnation
+}
+
+// Node is the process of an entry VM.
+type Node struct {
+	cfg      Config
+	self     cardamompass.VM
+	follower *view.Follower
+	presence *presence
+	board    *place.Board
+	sender   *send.Sender
+	front    *front.Front
+	stopping atomic.Bool
+	cleanups []func()
+	servers  []*http.Server
+	serving  sync.WaitGroup
+}
+
+// New starts the process and returns the function that ends it at once.
+func New(cfg Config) (nod *Node, cleanup func(), err error) {
+	defer func() { err = errors.Wrap(err, "start the entry VM") }()
+	set := cfg.Settings
+	nod = &Node{
+		cfg: cfg,
+		self: cardamompass.VM{
+			ID:            set.ID,
+			Incarnation:   cfg.Incarnation,
+			Region:        set.Region,
+			FailureDomain: set.FailureDomain,
+			CallerAddress: set.CallerAddress,
+		},
+		board: place.New(place.Config{
+			Self:           set.ID,
+			Region:         set.Region,
+			Regions:        set.Regions,
+			ColdOverage:    set.ColdOverage,
+			ColdSlack:      set.ColdSlack,
+			MaxRegionShift: set.MaxRegionShift,
+		}),
+	}
+	scp := cfg.Metrics.Scope()
+	opened := scp.Counter("target-connections")
+	nod.sender = nod.owned(send.New(send.Config{
+		Protocol: cfg.Protocol,
+		Clock:    cfg.Clock,
+		Dial:     send.Dialer(targetSilence),
+		Opened:   func() { opened.Inc(1) },
+	}))
+	nod.follower = own(nod, func() (*view.Follower, func()) {
+		return view.New(view.Config{
+			Registry: cfg.Registry,
+			Clock:    cfg.Clock,
+			Log:      cfg.Log,
+			Changed:  nod.changed,
+		})
+	})
+	nod.presence = own(nod, func() (*presence, func()) { return newPresence(nod) })
+	nod.front = front.New(front.Config{
+		Settings: set,
+		Protocol: cfg.Protocol,
+		Clock:    cfg.Clock,
+		Log:      cfg.Log,
+		Scope:    scp,
+		Board:    nod.board,
+		Sender:   nod.sender,
+		View:     nod.follower.View,
+		Age:      nod.follower.Age,
+	})
+	if err = nod.listen(); err != nil {
+		nod.close()
+		return nil, nil, err
+	}
+	nod.every(trimInterval, nod.trim)
+	return nod, nod.close, nil
+}
+
+// own registers the clean-up function of a part.
+func own[T any](nod *Node, make func() (T, func())) (part T) {
+	part, cleanup := make()
+	nod.cleanups = append(nod.cleanups, cleanup)
+	return part
+}
+
+func (nod *Node) owned(snd *send.Sender, cleanup func()) *send.Sender {
+	nod.cleanups = append(nod.cleanups, cleanup)
+	return snd
+}
+
+// every calls fun at an interval until the node is closed.
+func (nod *Node) every(interval time.Duration, fun func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		tck := time.NewTicker(interval)
+		defer tck.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tck.C:
+				fun()
+			}
+		}
+	}()
+	nod.cleanups = append(nod.cleanups, func() {
+		cancel()
+		<-done
+	})
+}
+
+// changed takes over a new view.
+func (nod *Node) changed(_, next *view.View) {
+	nod.board.Sync(next, nod.cfg.Clock.Now())
+}
+
+// trim closes idle connections that are too old or lead to targets that are gone.
+func (nod *Node) trim() {
+	vew := nod.follower.View()
+	nod.sender.Trim(func(id cardamompass.InstanceID) bool {
+		ins, ok := vew.Instance(id)
+		return ok && !ins.Leaving
+	})
+}
+
+func (nod *Node) listen() (err error) {
+	set := nod.cfg.Settings
+	lookups := direct.New(direct.Config{
+		Self:     nod.self,
+		Protocol: nod.cfg.Protocol,
+		View:     nod.follower.View,
+		Stopping: nod.stopping.Load,
+		MaxTTL:   set.MaxLookupTTL,
+		Log:      nod.cfg.Log,
+	})
+	lookupRoutes, readyRoutes, metricRoutes := mux.NewRouter(), mux.NewRouter(), mux.NewRouter()
+	lookupRoutes.Handle(nod.cfg.Protocol.LookupPath(), lookups).Methods(http.MethodGet)
+	readyRoutes.HandleFunc(nod.cfg.Protocol.ReadyPath(), nod.ready).Methods(http.MethodGet)
+	metricRoutes.Handle("/metrics", nod.cfg.Metrics.Page()).Methods(http.MethodGet)
+	for _, lst := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{set.CallerAddress, nod.front},
+		{set.LookupAddress, lookupRoutes},
+		{set.ReadyAddress, readyRoutes},
+		{metricsAddress, metricRoutes},
+	} {
+		if err = nod.serve(lst.address, lst.handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (nod *Node) serve(address string, hnd http.Handler) (err error) {
+	var cfg net.ListenConfig
+	lsn, err := cfg.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{
+		Handler:           hnd,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          zap.NewStdLog(nod.cfg.Log),
+	}
+	nod.servers = append(nod.servers, srv)
+	nod.serving.Go(func() {
+		if err := srv.Serve(lsn); !errors.Is(err, http.ErrServerClosed) {
+			nod.cfg.Log.Error("listener ended", zap.String("address", address), zap.Error(err))
+		}
+	})
+	return nil
+}
+
+// ready says whether callers should be sent here.
+func (nod *Node) ready(wrt http.ResponseWriter, _ *http.Request) {
+	if nod.stopping.Load() || nod.follower.View().Table == nil {
+		wrt.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	wrt.WriteHeader(http.StatusOK)
+}
+
+// close ends the process at once.
+func (nod *Node) close() {
+	for _, srv := range nod.servers {
+		_ = srv.Close() // ends the connections; nothing is left to report
+	}
+	nod.serving.Wait()
+	for num := len(nod.cleanups) - 1; num >= 0; num-- {
+		nod.cleanups[num]()
+	}
+}
--- /dev/null
+++ b/internal/edge/node/presence.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"cardamompass"
+)
+
+const (
+	// leaseTTL is how long the entry of a VM stays after its last renewal. A dead VM is named in look-ups for that long.
+	leaseTTL = 3 * time.Second
+	// renewInterval allows one renewal to be lost.
+	renewInterval = time.Second
+)
+
+// presence keeps the entry of the VM in the store while it serves.
+type presence struct {
+	nod    *Node
+	lease  int64
+	ctx    context.Context //nolint:containedctx // ends the calls under way when the VM withdraws
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func newPresence(nod *Node) (prs *presence, cleanup func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	prs = &presence{
+		nod:    nod,
+		ctx:    ctx,
+		cancel: cancel,
+		done:   make(chan struct{}),
+	}
+	go func() {
+		defer close(prs.done)
+		prs.run()
+	}()
+	return prs, prs.stop
+}
+
+func (prs *presence) stop() {
+	prs.cancel()
+	<-prs.done
+}
+
+// missing reports whether the store no longer has the entry, as far as this VM has followed its changes.
+func (prs *presence) missing() (ok bool) {
+	vmc, ok := prs.nod.follower.View().VM(prs.nod.self.ID)
+	return !ok || vmc.Incarnation != prs.nod.self.Incarnation
+}
+
+func (prs *presence) run() {
+	announced := false
+	tck := time.NewTicker(renewInterval)
+	defer tck.Stop()
+	for prs.ctx.Err() == nil {
+		var err error
+		if announced {
+			err = prs.renew()
+		} else {
+			err = prs.announce()
+		}
+		prs.note(announced, err)
+		var gone *cardamompass.NotFoundError
+		if err == nil {
+			announced = true
+		} else if errors.As(err, &gone) {
+			prs.lease = 0
+			announced = false
+			if prs.ctx.Err() == nil {
+				continue
+			}
+		}
+		select {
+		case <-prs.ctx.Done():
+		case <-tck.C:
+			announced = announced && !prs.missing()
+		}
+	}
+}
+
+func (prs *presence) note(announced bool, err error) {
+	switch {
+	case err != nil && prs.ctx.Err() == nil:
+		prs.nod.cfg.Log.Warn("presence not confirmed", zap.Error(err), zap.Int64("lease", prs.lease))
+	case err == nil && !announced:
+		prs.nod.cfg.Log.Info("presence announced", zap.Int64("lease", prs.lease))
+	}
+}
+
+func (prs *presence) announce() (err error) {
+	if prs.nod.follower.View().Table == nil {
+		return errors.New("no routing table is known yet")
+	}
+	if prs.lease == 0 {
+		if prs.lease, err = prs.nod.cfg.Registry.Grant(prs.ctx, max(leaseTTL, prs.nod.cfg.Settings.MinLeaseTTL)); err != nil {
+			return err
+		}
+	}
+	return prs.nod.cfg.Registry.Announce(prs.ctx, prs.nod.self, prs.lease)
+}
+
+func (prs *presence) renew() (err error) { return prs.nod.cfg.Registry.Renew(prs.ctx, prs.lease) }
+
+// withdraw removes the entry.
+func (prs *presence) withdraw(ctx context.Context) {
+	prs.stop()
+	if prs.lease == 0 {
+		return
+	}
+	if err := prs.nod.cfg.Registry.Revoke(ctx, prs.lease); err != nil {
+		prs.nod.cfg.Log.Warn("presence not withdrawn", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/fleet/view/follow.go
@@ -0,0 +1,211 @@
+package view
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"cardamompass"
+)
+
+const (
+	// watchWait is how long the store holds a watch without changes. A connection that went silent is noticed only when the wait is
+	// over, and changes must be in force about two seconds after their acknowledgement.
+	watchWait = 1500 * time.Millisecond
+	// retryFirst and retryMost bound the pause after a failed call. Refused calls are priced like others.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// purgeInterval is the time between two looks for instances that did not register again.
+	purgeInterval = 200 * time.Millisecond
+)
+
+// Config configures a Follower.
+type Config struct {
+	Registry cardamompass.Registry
+	Clock    cardamompass.Clock
+	Log      *zap.Logger
+	// Changed is called after each new view, from one goroutine at a time. Optional.
+	Changed func(old, next *View)
+}
+
+// Follower keeps a View up to date.
+type Follower struct {
+	cfg     Config
+	current atomic.Pointer[View]
+	contact atomic.Int64 // time of the last answer of the store, in nanoseconds since the Unix epoch
+	out     Outage
+	listed  bool
+	pause   time.Duration
+	purged  chan struct{}
+}
+
+// New starts to follow the store and returns the function that ends it.
+func New(cfg Config) (flw *Follower, cleanup func()) {
+	if cfg.Changed == nil {
+		cfg.Changed = func(*View, *View) {}
+	}
+	flw = &Follower{
+		cfg:   cfg,
+		pause: retryFirst,
+	}
+	flw.current.Store(Empty())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		flw.run(ctx)
+	}()
+	return flw, func() {
+		cancel()
+		<-done
+	}
+}
+
+// View returns the current view.
+func (flw *Follower) View() (vew *View) { return flw.current.Load() }
+
+// Age returns the time since the store's last answer.
+func (flw *Follower) Age() (age time.Duration) {
+	return flw.cfg.Clock.Now().Sub(time.Unix(0, flw.contact.Load()))
+}
+
+type fetched struct {
+	chs      []cardamompass.Change
+	revision int64
+	listing  bool
+	err      error
+}
+
+func (flw *Follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		got := make(chan fetched, 1)
+		go func() { got <- flw.fetch(ctx) }()
+		flw.settle(ctx, flw.await(got))
+	}
+}
+
+// await waits for a call and meanwhile drops instances that did not register again.
+func (flw *Follower) await(got <-chan fetched) (ftc fetched) {
+	for {
+		tmr := flw.cfg.Clock.NewTimer(purgeInterval)
+		select {
+		case ftc = <-got:
+			tmr.Stop()
+			return ftc
+		case <-tmr.C():
+			flw.purge()
+		}
+	}
+}
+
+func (flw *Follower) purge() {
+	if flw.out.Lasts {
+		return
+	}
+	next, gone := flw.View().WithoutMissing(flw.cfg.Clock.Now())
+	for _, id := range gone {
+		flw.cfg.Log.Info("target gone", zap.String("instance", string(id)), zap.String("reason", "did not register again"))
+	}
+	if len(gone) > 0 {
+		flw.publish(next)
+	}
+}
+
+func (flw *Follower) fetch(ctx context.Context) (ftc fetched) {
+	if !flw.listed {
+		ftc.listing = true
+		ftc.chs, ftc.revision, ftc.err = flw.cfg.Registry.List(ctx)
+		return ftc
+	}
+	ftc.chs, ftc.revision, ftc.err = flw.cfg.Registry.Watch(ctx, flw.View().Revision, watchWait)
+	return ftc
+}
+
+func (flw *Follower) settle(ctx context.Context, ftc fetched) {
+	var lost *cardamompass.HistoryLostError
+	if errors.As(ftc.err, &lost) {
+		flw.cfg.Log.Warn("store history lost", zap.Int64("after", lost.After))
+		flw.listed = false
+		return
+	}
+	if ftc.err != nil {
+		flw.failed(ctx, ftc.err)
+		return
+	}
+	now := flw.cfg.Clock.Now()
+	flw.contact.Store(now.UnixNano())
+	flw.pause = retryFirst
+	if flw.out.Lasts {
+		flw.out = Outage{
+			Ended: now,
+		}
+		flw.cfg.Log.Info("store regained", zap.Int64("revision", ftc.revision))
+	}
+	if !ftc.listing && len(ftc.chs) == 0 && ftc.revision == flw.View().Revision {
+		return
+	}
+	flw.note(ftc.chs)
+	if ftc.listing {
+		flw.listed = true
+		flw.publish(flw.View().WithListing(ftc.chs, ftc.revision, flw.out, now))
+		return
+	}
+	flw.publish(flw.View().With(ftc.chs, ftc.revision, flw.out, now))
+}
+
+func (flw *Follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if !flw.out.Lasts {
+		flw.cfg.Log.Warn("store lost", zap.Error(err), zap.Duration("age", flw.Age()))
+	}
+	flw.out.Lasts = true
+	tmr := flw.cfg.Clock.NewTimer(flw.pause)
+	defer tmr.Stop()
+	flw.pause = min(2*flw.pause, retryMost)
+	select {
+	case <-ctx.Done():
+	case <-tmr.C():
+	}
+}
+
+func (flw *Follower) publish(next *View) {
+	old := flw.View()
+	flw.current.Store(next)
+	if next.Table != old.Table {
+		flw.cfg.Log.Info("routing table in force", zap.Uint64("version", next.Table.Version),
+			zap.Int("routes", len(next.Table.Routes)), zap.Int64("revision", next.Revision))
+	}
+	flw.cfg.Changed(old, next)
+}
+
+// note logs what changes.
+func (flw *Follower) note(chs []cardamompass.Change) {
+	for _, chg := range chs {
+		log := flw.cfg.Log.With(zap.Int64("revision", chg.Revision))
+		switch {
+		case chg.Rejected != nil:
+			log.Warn("entry rejected", zap.String("key", chg.Rejected.Key), zap.Error(chg.Rejected.Err))
+		case chg.Instance != nil:
+			log.Info("target registered", zap.String("instance", string(chg.Instance.ID)),
+				zap.String("service", string(chg.Instance.Service)), zap.String("address", chg.Instance.Address),
+				zap.Bool("leaving", chg.Instance.Leaving), zap.Duration("cold", chg.Instance.ColdFor))
+		case chg.InstanceGone != "":
+			log.Info("target entry removed", zap.String("instance", string(chg.InstanceGone)))
+		case chg.Evacuated != "":
+			log.Info("failure domain evacuated", zap.String("failure-domain", string(chg.Evacuated)))
+		case chg.Restored != "":
+			log.Info("failure domain restored", zap.String("failure-domain", string(chg.Restored)))
+		case chg.VM != nil:
+			log.Info("vm running", zap.String("vm", string(chg.VM.ID)), zap.String("address", chg.VM.CallerAddress))
+		case chg.VMGone != "":
+			log.Info("vm gone", zap.String("vm", string(chg.VMGone)))
+		case chg.Crasher != "":
+			log.Warn("crashing request known", zap.String("fingerprint", chg.Crasher))
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/view/view.go
@@ -0,0 +1,217 @@
+// Package view holds what an entry VM knows of the fleet from the platform's store, and follows the store's changes.
+//
+// A View is an immutable snapshot: the routing table, the registered instances of targets, the evacuated failure domains, the
+// running VMs and the requests known to crash targets. A Follower lists the store, watches it and publishes a new View after each
+// change. The version of the routing table in a process never decreases.
+package view
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"cardamompass"
+)
+
+// Outage describes the latest time in which the store could not be followed.
+type Outage struct {
+	// Ended is when it could be followed again; zero while there was no outage or it lasts.
+	Ended time.Time
+	// Lasts is set while the store can't be followed.
+	Lasts bool
+}
+
+// ReturnTime is the time after the store's return within which targets register again whose entries lapsed while it was away.
+const ReturnTime = 2 * time.Second
+
+// View is a snapshot of the fleet.
+type View struct {
+	// Table is the routing table, nil until one is known.
+	Table *cardamompass.RoutingTable
+	// Learned is when Table came into force here.
+	Learned time.Time
+	// Revision is the store's revision up to which changes are contained.
+	Revision int64
+
+	instances map[cardamompass.InstanceID]cardamompass.Instance
+	missing   map[cardamompass.InstanceID]time.Time // kept only until then
+	evacuated map[cardamompass.FailureDomain]bool
+	vms       map[cardamompass.VMID]cardamompass.VM
+	crashers  map[string]bool
+	services  map[cardamompass.ServiceName][]cardamompass.Instance
+}
+
+// Empty returns a View of nothing.
+func Empty() (vew *View) { return &View{} }
+
+// Instances returns the registered instances of a service in the order of their ids. Callers must not modify the result.
+func (vew *View) Instances(svc cardamompass.ServiceName) (list []cardamompass.Instance) {
+	return vew.services[svc]
+}
+
+// Instance returns the instance with an id.
+func (vew *View) Instance(id cardamompass.InstanceID) (ins cardamompass.Instance, ok bool) {
+	ins, ok = vew.instances[id]
+	return ins, ok
+}
+
+// All returns all instances, in no particular order.
+func (vew *View) All() (list []cardamompass.Instance) {
+	return slices.Collect(maps.Values(vew.instances))
+}
+
+// Evacuated reports whether the targets of a failure domain are to get no requests.
+func (vew *View) Evacuated(dom cardamompass.FailureDomain) bool { return vew.evacuated[dom] }
+
+// VMs returns the running VMs in the order of their ids.
+func (vew *View) VMs() (list []cardamompass.VM) {
+	return slices.SortedFunc(maps.Values(vew.vms), func(one, two cardamompass.VM) int {
+		return strings.Compare(string(one.ID), string(two.ID))
+	})
+}
+
+// VM returns the entry of a running VM.
+func (vew *View) VM(id cardamompass.VMID) (vmc cardamompass.VM, ok bool) {
+	vmc, ok = vew.vms[id]
+	return vmc, ok
+}
+
+// Crasher reports whether a request with this fingerprint is known to crash targets.
+func (vew *View) Crasher(fingerprint string) bool { return vew.crashers[fingerprint] }
+
+// With returns the view after changes, in their order. now is the time at which they were learned.
+func (vew *View) With(chs []cardamompass.Change, revision int64, out Outage, now time.Time) (next *View) {
+	next = vew.clone()
+	next.Revision = revision
+	for _, chg := range chs {
+		next.apply(chg, out, now)
+	}
+	next.index()
+	return next
+}
+
+// WithListing returns the view after a listing of everything. What it does not contain is gone.
+func (vew *View) WithListing(chs []cardamompass.Change, revision int64, out Outage, now time.Time) (next *View) {
+	next = vew.clone()
+	next.Revision = revision
+	next.evacuated = make(map[cardamompass.FailureDomain]bool)
+	next.vms = make(map[cardamompass.VMID]cardamompass.VM)
+	next.crashers = make(map[string]bool)
+	listed := make(map[cardamompass.InstanceID]bool)
+	for _, chg := range chs {
+		next.apply(chg, out, now)
+		if chg.Instance != nil {
+			listed[chg.Instance.ID] = true
+		}
+	}
+	for id := range next.instances {
+		if !listed[id] {
+			next.removeInstance(id, out, now)
+		}
+	}
+	next.index()
+	return next
+}
+
+// WithoutMissing returns the view without the instances that did not register again in time.
+func (vew *View) WithoutMissing(now time.Time) (next *View, gone []cardamompass.InstanceID) {
+	for id, until := range vew.missing {
+		if now.After(until) {
+			gone = append(gone, id)
+		}
+	}
+	if len(gone) == 0 {
+		return vew, nil
+	}
+	next = vew.clone()
+	for _, id := range gone {
+		delete(next.instances, id)
+		delete(next.missing, id)
+	}
+	next.index()
+	return next, gone
+}
+
+func (vew *View) clone() (next *View) {
+	next = &View{
+		Table:     vew.Table,
+		Learned:   vew.Learned,
+		Revision:  vew.Revision,
+		instances: maps.Clone(vew.instances),
+		missing:   maps.Clone(vew.missing),
+		evacuated: maps.Clone(vew.evacuated),
+		vms:       maps.Clone(vew.vms),
+		crashers:  maps.Clone(vew.crashers),
+	}
+	if next.instances == nil {
+		next.instances = make(map[cardamompass.InstanceID]cardamompass.Instance)
+		next.missing = make(map[cardamompass.InstanceID]time.Time)
+		next.evacuated = make(map[cardamompass.FailureDomain]bool)
+		next.vms = make(map[cardamompass.VMID]cardamompass.VM)
+		next.crashers = make(map[string]bool)
+	}
+	return next
+}
+
+func (vew *View) apply(chg cardamompass.Change, out Outage, now time.Time) {
+	switch {
+	case chg.Table != nil:
+		if vew.Table == nil || chg.Table.Version > vew.Table.Version {
+			vew.Table, vew.Learned = chg.Table, now
+		}
+	case chg.Instance != nil:
+		vew.instances[chg.Instance.ID] = *chg.Instance
+		delete(vew.missing, chg.Instance.ID)
+	case chg.InstanceGone != "" && chg.Rejected != nil:
+		delete(vew.instances, chg.InstanceGone)
+		delete(vew.missing, chg.InstanceGone)
+	case chg.InstanceGone != "":
+		vew.removeInstance(chg.InstanceGone, out, now)
+	case chg.Evacuated != "":
+		vew.evacuated[chg.Evacuated] = true
+	case chg.Restored != "":
+		delete(vew.evacuated, chg.Restored)
+	case chg.VM != nil:
+		vew.vms[chg.VM.ID] = *chg.VM
+	case chg.VMGone != "":
+		delete(vew.vms, chg.VMGone)
+	case chg.Crasher != "":
+		vew.crashers[chg.Crasher] = true
+	case chg.CrasherGone != "":
+		delete(vew.crashers, chg.CrasherGone)
+	}
+}
+
+// removeInstance removes an instance, or keeps it for a while when its entry may only have lapsed with the store.
+func (vew *View) removeInstance(id cardamompass.InstanceID, out Outage, now time.Time) {
+	ins, known := vew.instances[id]
+	if !known {
+		return
+	}
+	returning := out.Lasts || (!out.Ended.IsZero() && now.Before(out.Ended.Add(ReturnTime)))
+	if ins.Leaving || !returning {
+		delete(vew.instances, id)
+		delete(vew.missing, id)
+		return
+	}
+	if _, already := vew.missing[id]; !already {
+		until := now.Add(ReturnTime)
+		if !out.Lasts {
+			until = out.Ended.Add(ReturnTime)
+		}
+		vew.missing[id] = until
+	}
+}
+
+func (vew *View) index() {
+	vew.services = make(map[cardamompass.ServiceName][]cardamompass.Instance)
+	for _, ins := range vew.instances {
+		vew.services[ins.Service] = append(vew.services[ins.Service], ins)
+	}
+	for _, list := range vew.services {
+		slices.SortFunc(list, func(one, two cardamompass.Instance) int {
+			return strings.Compare(string(one.ID), string(two.ID))
+		})
+	}
+}
--- a/internal/steer/budget/budget.go
+++ b/internal/steer/budget/budget.go
@@ -138,3 +138,23 @@
 	defer bud.mut.Unlock()
 	return bud.sta
 }
+
+// SetMinimum changes the number of extra requests that are allowed beside the percentage. Tokens beyond the new bound are lost; none are
+// added.
+func (bud *Budget) SetMinimum(minimum int, now time.Time) {
+	bud.mut.Lock()
+	defer bud.mut.Unlock()
+	bud.sta = bud.sta.WithMinimum(minimum, now)
+}
+
+// WithMinimum returns the state with another minimum, at least 2.
+func (sta State) WithMinimum(minimum int, now time.Time) (next State) {
+	minimum = max(2, minimum)
+	if minimum == sta.cfg.Minimum {
+		return sta
+	}
+	next = sta.withTime(now)
+	next.cfg.Minimum = minimum
+	next.parts = min(next.parts, half(next.cfg))
+	return next
+}
--- /dev/null
+++ b/internal/steer/place/choose.go
@@ -0,0 +1,232 @@
+package place
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cardamompass"
+)
+
+const (
+	// closeRanks is the number of ranked instances among which the fastest is taken. More of them spread an object over more
+	// instances, each of which has to handle it once before it is fast.
+	closeRanks = 3
+	// warmTime is the time of work on an object that the instance has handled before, relative to other work.
+	warmTime = 0.3
+	// unknownFirst is the expected time at the first rank for an object that this VM has not sent before; other VMs probably have.
+	unknownFirst = 0.6
+	// coldSlowness is how much longer work takes at a cold instance.
+	coldSlowness = 2
+	// waitTime is the mean time of one request ahead in a queue for one slot, relative to work without a warm object.
+	waitTime = 0.45
+	// spreadTime makes an emptier instance win between equals.
+	spreadTime = 0.1
+	// failureTime is the cost of a failure that is certain, in the same unit.
+	failureTime = 3
+)
+
+// Query asks for an instance.
+type Query struct {
+	Service cardamompass.ServiceName
+	// Object is the hash of the object; see ObjectHash.
+	Object uint64
+	// Route gives the home regions.
+	Route *cardamompass.Route
+	// Tried are the instances to which the request was sent already.
+	Tried []cardamompass.InstanceID
+	Now   time.Time
+}
+
+// Choice is an instance and why it was taken.
+type Choice struct {
+	Instance cardamompass.Instance
+	// Rank is its place in the object's order, 0 the first.
+	Rank int
+	// Expected is its expected time relative to usual work without a warm object.
+	Expected float64
+	// Load is the number of requests estimated to be there.
+	Load float64
+	// LoadAge is the age of the last stated load; negative if there was none.
+	LoadAge time.Duration
+	// Warm is set when this VM knows that the instance has handled the object.
+	Warm bool
+	// Cold is set when the instance is cold.
+	Cold bool
+	// Full is set when every usable instance has more requests than slots.
+	Full bool
+	// Rejected counts the instances left out.
+	Rejected Rejected
+}
+
+// Rejected counts instances that a request can't use, by reason.
+type Rejected struct {
+	Leaving, Evacuated, Away, Tried, Avoided, Cold int
+}
+
+// ObjectHash hashes an object of a service. Objects of one name are different in each service.
+func ObjectHash(svc cardamompass.ServiceName, object string) (hash uint64) {
+	return xxhash.Sum64String(string(svc) + "\x00" + object)
+}
+
+// Choose returns the instance for a request. ok is false when no instance can be used; the choice then holds the reasons.
+func (brd *Board) Choose(qry Query) (chc Choice, ok bool) {
+	brd.mu.Lock()
+	defer brd.mu.Unlock()
+	ranked, rej := brd.rank(qry)
+	chc.Rejected = rej
+	if len(ranked) == 0 {
+		return chc, false
+	}
+	trl := brd.trail(qry.Object)
+	trl.used = qry.Now
+	best := -1
+	for num := range ranked {
+		cnd := &ranked[num]
+		brd.expect(cnd, num, trl, qry.Now)
+		free := cnd.load < float64(cnd.sta.ins.Slots)
+		if best < 0 || cnd.expected < ranked[best].expected {
+			best = num
+		}
+		if num+1 >= closeRanks && (free || ranked[best].load < float64(ranked[best].sta.ins.Slots)) {
+			break
+		}
+	}
+	won := ranked[best]
+	chc = Choice{
+		Instance: won.sta.ins,
+		Rank:     best,
+		Expected: won.expected,
+		Load:     won.load,
+		LoadAge:  -1,
+		Warm:     won.warm,
+		Cold:     qry.Now.Before(won.sta.coldUntil),
+		Full:     won.load >= float64(won.sta.ins.Slots),
+		Rejected: rej,
+	}
+	if !won.sta.loadAt.IsZero() {
+		chc.LoadAge = qry.Now.Sub(won.sta.loadAt)
+	}
+	return chc, true
+}
+
+// candidate is an instance in the order of an object.
+type candidate struct {
+	sta      *state
+	order    int // 0 for the region of the object, 1 for the own region, 2 for others
+	hash     uint64
+	load     float64
+	expected float64
+	warm     bool
+}
+
+// rank returns the usable instances in the order of the object. Instances to avoid are used only when there are no others.
+func (brd *Board) rank(qry Query) (ranked []candidate, rej Rejected) {
+	div := brd.division(qry.Service, qry.Now)
+	region := regionOf(div, brd.cfg.Region, float64(qry.Object>>11)/(1<<53))
+	var avoided []candidate
+	for _, ins := range brd.vew.Instances(qry.Service) {
+		sta, ok := brd.states[ins.ID]
+		if !ok || !brd.usable(qry, ins, sta, &rej) {
+			continue
+		}
+		cnd := candidate{
+			sta:   sta,
+			order: regionOrder(ins.Region, region, brd.cfg.Region),
+			hash:  mix(qry.Object, string(ins.ID)),
+		}
+		if qry.Now.Before(sta.avoidUntil) {
+			rej.Avoided++
+			avoided = append(avoided, cnd)
+			continue
+		}
+		ranked = append(ranked, cnd)
+	}
+	if len(ranked) == 0 {
+		ranked = avoided
+	}
+	slices.SortFunc(ranked, func(one, two candidate) int {
+		return cmp.Or(cmp.Compare(one.order, two.order), cmp.Compare(two.hash, one.hash))
+	})
+	return ranked, rej
+}
+
+func (brd *Board) usable(qry Query, ins cardamompass.Instance, sta *state, rej *Rejected) (ok bool) {
+	switch {
+	case ins.Leaving:
+		rej.Leaving++
+	case brd.vew.Evacuated(ins.FailureDomain):
+		rej.Evacuated++
+	case !qry.Route.Home(ins.Region):
+		rej.Away++
+	case slices.Contains(qry.Tried, ins.ID):
+		rej.Tried++
+	case !sta.coldRoom(brd.coldQuota(ins, qry.Now), qry.Now):
+		rej.Cold++
+	default:
+		return true
+	}
+	return false
+}
+
+// coldQuota is the number of requests a second that this VM may send to a cold instance. The quotas of all VMs add up to the bound,
+// less one for the requests that cross a change of the number of VMs.
+func (brd *Board) coldQuota(ins cardamompass.Instance, now time.Time) (quota int) {
+	total := int(math.Floor(brd.policy(ins.Service).ColdRate*brd.cfg.ColdOverage+brd.cfg.ColdSlack)) - 1
+	count := brd.vms.count(now)
+	quota = total / count
+	own := mix(xxhash.Sum64String(string(ins.ID)), string(brd.cfg.Self))
+	before := 0
+	for _, vmc := range brd.vew.VMs() {
+		if vmc.ID != brd.cfg.Self && mix(xxhash.Sum64String(string(ins.ID)), string(vmc.ID)) < own {
+			before++
+		}
+	}
+	if before < total%count {
+		quota++
+	}
+	return quota
+}
+
+// expect estimates the time that the request takes at a candidate.
+func (brd *Board) expect(cnd *candidate, rank int, trl *trail, now time.Time) {
+	sta := cnd.sta
+	slots := float64(max(1, sta.ins.Slots))
+	cnd.load = sta.estimate(now)
+	cnd.warm = trl.warm(sta.ins.ID, now)
+	work := 1.0
+	switch {
+	case cnd.warm:
+		work = warmTime
+	case rank == 0:
+		work = unknownFirst
+	}
+	if now.Before(sta.coldUntil) {
+		work *= coldSlowness
+	}
+	cnd.expected = work*sta.slowness(now) +
+		waitTime*max(0, cnd.load+1-slots)/slots +
+		spreadTime*cnd.load/slots +
+		failureTime*sta.failureRate(now)
+}
+
+func regionOrder(reg, wanted, own cardamompass.Region) (order int) {
+	switch reg {
+	case wanted:
+		return 0
+	case own:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// mix hashes a name with a seed, well enough spread to order instances for an object.
+func mix(seed uint64, name string) (hash uint64) {
+	var buf [64]byte
+	return xxhash.Sum64(append(strconv.AppendUint(buf[:0], seed, 36), name...))
+}
--- /dev/null
+++ b/internal/steer/place/place.go
@@ -0,0 +1,196 @@
+// Package place chooses the target of a request.
+//
+// Work on an object is faster at an instance that has handled the object before. Every VM therefore ranks the instances of a service
+// alike for an object, by rendezvous hashing, and takes among the first few the one with the smallest expected time, from the load
+// and the slowness that instances state with their answers and from the VM's own requests under way.
+//
+// A region keeps the part of its objects that its part of the slots can carry; the others go to regions with room. The parts follow
+// from the registrations, so VMs agree without talking, and they move slowly, so that the cap on shifts between regions holds.
+//
+// A cold instance gets a number of requests a second that is divided among the running VMs.
+package place
+
+import (
+	"sync"
+	"time"
+
+	"cardamompass"
+	"cardamompass/internal/fleet/view"
+)
+
+// Config configures a Board.
+type Config struct {
+	// Self and Region are this VM and its region, whose callers it serves.
+	Self   cardamompass.VMID
+	Region cardamompass.Region
+	// Regions maps failure domains to regions. Callers are taken to be spread evenly over the failure domains.
+	Regions map[cardamompass.FailureDomain]cardamompass.Region
+	// ColdOverage and ColdSlack bound the requests a second to a cold instance: its rate times the overage plus the slack.
+	ColdOverage float64
+	ColdSlack   float64
+	// MaxRegionShift is the part of a region's requests that may change the serving region within two seconds.
+	MaxRegionShift float64
+}
+
+// Board knows the state of every instance and chooses among them. It is safe for concurrent use and reads no clock.
+type Board struct {
+	cfg Config
+
+	mu     sync.Mutex
+	vew    *view.View
+	states map[cardamompass.InstanceID]*state
+	parts  map[cardamompass.ServiceName]*parts
+	trails map[uint64]*trail
+	vms    census
+	synced bool
+}
+
+// New returns a Board that knows no instance.
+func New(cfg Config) (brd *Board) {
+	return &Board{
+		cfg:    cfg,
+		vew:    view.Empty(),
+		states: make(map[cardamompass.InstanceID]*state),
+		parts:  make(map[cardamompass.ServiceName]*parts),
+		trails: make(map[uint64]*trail),
+	}
+}
+
+// Sync takes over a new view of the fleet.
+func (brd *Board) Sync(vew *view.View, now time.Time) {
+	brd.mu.Lock()
+	defer brd.mu.Unlock()
+	old := brd.vew
+	brd.vew = vew
+	brd.vms.note(len(vew.VMs()), now)
+	for _, ins := range vew.All() {
+		sta, known := brd.states[ins.ID]
+		if !known || !sta.ins.SameStart(ins) {
+			sta = newState(ins)
+			brd.states[ins.ID] = sta
+			sta.coldUntil = now.Add(brd.coldTime(ins))
+		}
+		if old.Evacuated(ins.FailureDomain) && !vew.Evacuated(ins.FailureDomain) {
+			// Targets of an evacuated failure domain may have become cold meanwhile.
+			sta.coldUntil = later(sta.coldUntil, now.Add(brd.policy(ins.Service).ColdFor))
+		}
+		if ins.ColdFor > sta.ins.ColdFor {
+			sta.coldUntil = later(sta.coldUntil, now.Add(ins.ColdFor))
+		}
+		sta.ins = ins
+	}
+	for id := range brd.states {
+		if _, ok := vew.Instance(id); !ok {
+			delete(brd.states, id)
+		}
+	}
+	brd.synced = brd.synced || vew.Table != nil
+}
+
+// coldTime is how long an instance that was just learned of stays cold. One that registers during traffic has just started; of
+// those that were there before this process, only their own word is known.
+func (brd *Board) coldTime(ins cardamompass.Instance) (dur time.Duration) {
+	if !brd.synced {
+		return ins.ColdFor
+	}
+	return max(ins.ColdFor, brd.policy(ins.Service).ColdFor)
+}
+
+func (brd *Board) policy(svc cardamompass.ServiceName) (pol cardamompass.ServicePolicy) {
+	if brd.vew.Table == nil {
+		return pol
+	}
+	return brd.vew.Table.Services[svc]
+}
+
+// VMs returns the number of VMs among which common budgets are divided, at least 1.
+func (brd *Board) VMs(now time.Time) (count int) {
+	brd.mu.Lock()
+	defer brd.mu.Unlock()
+	return brd.vms.count(now)
+}
+
+// Sent notes that a request goes to an instance.
+func (brd *Board) Sent(id cardamompass.InstanceID, now time.Time) {
+	brd.mu.Lock()
+	defer brd.mu.Unlock()
+	if sta, ok := brd.states[id]; ok {
+		sta.inFlight++
+		if now.Before(sta.coldUntil) {
+			sta.coldSent = append(sta.coldSent, now)
+		}
+	}
+}
+
+// Result is what became of a request at an instance.
+type Result uint8
+
+const (
+	// ResultAnswered is an answer other than a failure.
+	ResultAnswered Result = iota
+	// ResultFailed is a failure that the target answered, or an answer that broke.
+	ResultFailed
+	// ResultShed is a request that the target refused to run.
+	ResultShed
+	// ResultGone is an address at which the instance is not.
+	ResultGone
+	// ResultUnreachable is an instance to which no connection could be opened.
+	ResultUnreachable
+	// ResultSilent is a deadline that passed without an answer.
+	ResultSilent
+	// ResultDropped is a request that this VM gave up; it says nothing of the instance.
+	ResultDropped
+)
+
+// Outcome is a Result with what the instance stated.
+type Outcome struct {
+	Instance cardamompass.InstanceID
+	// Object is the hash of the object, as in Query.
+	Object uint64
+	Result Result
+	Load   *cardamompass.Load
+}
+
+// Done notes what became of a request for which Sent was called.
+func (brd *Board) Done(out Outcome, now time.Time) {
+	brd.mu.Lock()
+	defer brd.mu.Unlock()
+	sta, ok := brd.states[out.Instance]
+	if !ok {
+		return
+	}
+	sta.inFlight = max(0, sta.inFlight-1)
+	sta.note(out, now)
+	if out.Result == ResultAnswered {
+		brd.trail(out.Object).note(out.Instance, now)
+	}
+}
+
+func later(one, two time.Time) time.Time {
+	if one.After(two) {
+		return one
+	}
+	return two
+}
+
+// String returns the kebab-case name of the result.
+func (res Result) String() (name string) {
+	switch res {
+	case ResultAnswered:
+		return "answered"
+	case ResultFailed:
+		return "failed"
+	case ResultShed:
+		return "shed"
+	case ResultGone:
+		return "gone"
+	case ResultUnreachable:
+		return "unreachable"
+	case ResultSilent:
+		return "silent"
+	case ResultDropped:
+		return "dropped"
+	default:
+		return "invalid"
+	}
+}
--- /dev/null
+++ b/vmsettings.go
@@ -0,0 +1,44 @@
+package cardamompass
+
+import "time"
+
+// VMSettings are the settings of an entry VM on the users' platform. It is immutable.
+type VMSettings struct {
+	ID            VMID
+	FailureDomain FailureDomain
+	Region        Region
+	// Regions maps every failure domain to its region.
+	Regions map[FailureDomain]Region
+	// IP is the VM's own IP number.
+	IP string
+	// CallerAddress, ReadyAddress and LookupAddress are the addresses on which the VM listens.
+	CallerAddress string
+	ReadyAddress  string
+	LookupAddress string
+	// StoreAddress is the address of the platform's store.
+	StoreAddress string
+	// MinLeaseTTL is the shortest time to live of a lease.
+	MinLeaseTTL time.Duration
+	// MemoryBytes and MaxDescriptors are the limits of the process.
+	MemoryBytes    int64
+	MaxDescriptors int
+	// GraceTime is the time between the request to stop and the kill.
+	GraceTime time.Duration
+	// RepeatPercent and RepeatSlack bound the repeats of all VMs in RepeatWindow: a percentage of the requests plus a number.
+	RepeatPercent int
+	RepeatSlack   int
+	RepeatWindow  time.Duration
+	// ColdOverage and ColdSlack bound the requests a second to a cold target: its rate times the overage plus the slack.
+	ColdOverage float64
+	ColdSlack   float64
+	// MaxLookupTTL is the longest time for which a caller uses an answer to a look-up.
+	MaxLookupTTL time.Duration
+	// MaxRegionShift is the part of a region's requests that may change the serving region from one window of 2 s to the next.
+	MaxRegionShift float64
+	// StableWindow is the time after a disturbance for which time bounds do not hold.
+	StableWindow time.Duration
+	// ReuseAfter is the time after which the address of an ended target may belong to another.
+	ReuseAfter time.Duration
+	// ConfigApplyBound is the time within which a new routing table must be in force.
+	ConfigApplyBound time.Duration
+}
