place: keep an object on two targets and refuse at a load limit by priority

Ruled out: processor time (0.05 of 0.32 cores), the number of connections. Change: the fastest of the first two ranks below a limit of 1.25 to 2 times the slots by priority, then any with half of its slots free, else a refusal at once; a second copy of a request only where half of the slots are free.

--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -51,14 +51,14 @@
 			atm.cancel()
 		}
 	}()
-	launch := func() (err error) {
-		atm, err := run.launch(ctx, results)
+	launch := func(spare bool) (err error) {
+		atm, err := run.launch(ctx, results, spare)
 		if err == nil {
 			under[atm] = true
 		}
 		return err
 	}
-	if err = launch(); err != nil {
+	if err = launch(false); err != nil {
 		return rep, err
 	}
 	hedge := run.exc.frt.cfg.Clock.NewTimer(run.hedgeDelay())
@@ -74,12 +74,12 @@
 			if len(under) > 0 {
 				continue
 			}
-			if !run.again(ctx, atm) || launch() != nil {
+			if !run.again(ctx, atm) || launch(false) != nil {
 				return run.last(atm)
 			}
 		case <-hedge.C():
 			if run.mayHedge() {
-				_ = launch() // without a second target the first one is awaited
+				_ = launch(true) // without a second target the first one is awaited
 			}
 		case <-ctx.Done():
 			return rep, &send.Failure{
@@ -99,7 +99,7 @@
 }
 
 // launch chooses a target and starts to send.
-func (run *job) launch(ctx context.Context, results chan<- *attempt) (atm *attempt, err error) {
+func (run *job) launch(ctx context.Context, results chan<- *attempt, spare bool) (atm *attempt, err error) {
 	frt := run.exc.frt
 	now := frt.cfg.Clock.Now()
 	chc, ok := frt.cfg.Board.Choose(place.Query{
@@ -107,6 +107,8 @@
 		Object:  run.object,
 		Route:   run.exc.route,
 		Tried:   run.tried,
+		MaxLoad: maxLoad(run.exc.vew.Table, run.exc.route),
+		Spare:   spare,
 		Now:     now,
 	})
 	if !ok {
@@ -120,7 +122,7 @@
 		cancel: cancel,
 		start:  now,
 	}
-	run.exc.log.Info("request sent", zap.String("target", string(chc.Instance.ID)), zap.Int("rank", chc.Rank),
+	run.exc.log.Info("request sent", zap.Bool("second", spare), zap.String("target", string(chc.Instance.ID)), zap.Int("rank", chc.Rank),
 		zap.Float64("expected", chc.Expected), zap.Float64("load", chc.Load), zap.Duration("load-age", chc.LoadAge),
 		zap.Bool("warm", chc.Warm), zap.Bool("cold", chc.Cold), zap.Any("rejected", chc.Rejected))
 	go func() {
--- a/internal/edge/front/share.go
+++ b/internal/edge/front/share.go
@@ -13,6 +13,11 @@
 	budgetSafety = 0.85
 	// hedgePart is the part of a route's objective after which a second target is asked.
 	hedgePart = 0.55
+	// urgentLoad is the load relative to the slots up to which the most urgent requests are sent to a target; a queue of the length of
+	// the slots is about as long as an objective leaves. Each less urgent priority has loadStep less, down to leastLoad.
+	urgentLoad = 2.0
+	loadStep   = 0.5
+	leastLoad  = 1.25
 	// leastHedgeDelay keeps routes with very short objectives from asking two targets as a rule.
 	leastHedgeDelay = 30 * time.Millisecond
 )
@@ -94,3 +99,15 @@
 	spl.given[svc]++
 	return svc
 }
+
+// maxLoad is the load relative to the slots at which a target is full for requests of a route. It is lower for less urgent routes,
+// so that these are refused first.
+func maxLoad(tbl *cardamompass.RoutingTable, rte *cardamompass.Route) (limit float64) {
+	above := make(map[int]bool)
+	for num := range tbl.Routes {
+		if pri := tbl.Routes[num].Priority; pri < rte.Priority {
+			above[pri] = true
+		}
+	}
+	return max(leastLoad, urgentLoad-loadStep*float64(len(above)))
+}
--- a/internal/steer/place/choose.go
+++ b/internal/steer/place/choose.go
@@ -14,8 +14,11 @@
 
 const (
 	// closeRanks is the number of ranked instances among which the fastest is taken. More of them spread an object over more
-	// instances, each of which has to handle it once before it is fast.
-	closeRanks = 3
+	// instances, each of which has to handle it once before it is fast and keeps only some tens of objects.
+	closeRanks = 2
+	// spareLoad is the load relative to the slots below which an instance beyond the close ranks, or a second one for the same
+	// request, may be used. Above it, work that is slow there takes the room of work that is fast.
+	spareLoad = 0.5
 	// warmTime is the time of work on an object that the instance has handled before, relative to other work.
 	warmTime = 0.3
 	// unknownFirst is the expected time at the first rank for an object that this VM has not sent before; other VMs probably have.
@@ -39,6 +42,10 @@
 	Route *cardamompass.Route
 	// Tried are the instances to which the request was sent already.
 	Tried []cardamompass.InstanceID
+	// MaxLoad is the load relative to the slots at which an instance is full for this request.
+	MaxLoad float64
+	// Spare asks for an instance with room to spare, for a second copy of a request that is under way.
+	Spare bool
 	Now   time.Time
 }
 
@@ -57,15 +64,13 @@
 	Warm bool
 	// Cold is set when the instance is cold.
 	Cold bool
-	// Full is set when every usable instance has more requests than slots.
-	Full bool
 	// Rejected counts the instances left out.
 	Rejected Rejected
 }
 
 // Rejected counts instances that a request can't use, by reason.
 type Rejected struct {
-	Leaving, Evacuated, Away, Tried, Avoided, Cold int
+	Leaving, Evacuated, Away, Tried, Avoided, Cold, Full int
 }
 
 // ObjectHash hashes an object of a service. Objects of one name are different in each service.
@@ -82,19 +87,9 @@
 	if len(ranked) == 0 {
 		return chc, false
 	}
-	trl := brd.trail(qry.Object)
-	trl.used = qry.Now
-	best := -1
-	for num := range ranked {
-		cnd := &ranked[num]
-		brd.expect(cnd, num, trl, qry.Now)
-		free := cnd.load < float64(cnd.sta.ins.Slots)
-		if best < 0 || cnd.expected < ranked[best].expected {
-			best = num
-		}
-		if num+1 >= closeRanks && (free || ranked[best].load < float64(ranked[best].sta.ins.Slots)) {
-			break
-		}
+	best := brd.fastest(qry, ranked, &chc.Rejected)
+	if best < 0 {
+		return chc, false
 	}
 	won := ranked[best]
 	chc = Choice{
@@ -105,8 +100,7 @@
 		LoadAge:  -1,
 		Warm:     won.warm,
 		Cold:     qry.Now.Before(won.sta.coldUntil),
-		Full:     won.load >= float64(won.sta.ins.Slots),
-		Rejected: rej,
+		Rejected: chc.Rejected,
 	}
 	if !won.sta.loadAt.IsZero() {
 		chc.LoadAge = qry.Now.Sub(won.sta.loadAt)
@@ -114,6 +108,31 @@
 	return chc, true
 }
 
+// fastest returns the index of the instance with the smallest expected time among the close ranks that have room, or else the first
+// instance with room to spare; -1 if there is none.
+func (brd *Board) fastest(qry Query, ranked []candidate, rej *Rejected) (best int) {
+	trl := brd.trail(qry.Object)
+	trl.used = qry.Now
+	best = -1
+	for num := range ranked {
+		cnd := &ranked[num]
+		brd.expect(cnd, num, trl, qry.Now)
+		limit := qry.MaxLoad
+		if qry.Spare || num >= closeRanks {
+			limit = spareLoad
+		}
+		if cnd.load >= limit*float64(cnd.sta.ins.Slots) {
+			rej.Full++
+		} else if best < 0 || cnd.expected < ranked[best].expected {
+			best = num
+		}
+		if num+1 >= closeRanks && best >= 0 {
+			return best
+		}
+	}
+	return best
+}
+
 // candidate is an instance in the order of an object.
 type candidate struct {
 	sta      *state
