place: compute quotas for cold instances only and keep the first ranks

Cause: on the grown deployment a request reached its target after 2.4 s; each choice computed the quota of every instance, with a sorted list of VMs each time, sorted all instances, and divided the regions anew. Change: quotas only for cold instances, the first 12 ranks by insertion, cached divisions, integer mixing of hashes.

--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -124,7 +124,7 @@
 	}
 	run.exc.log.Info("request sent", zap.Bool("second", spare), zap.String("target", string(chc.Instance.ID)), zap.Int("rank", chc.Rank),
 		zap.Float64("expected", chc.Expected), zap.Float64("load", chc.Load), zap.Duration("load-age", chc.LoadAge),
-		zap.Bool("warm", chc.Warm), zap.Bool("cold", chc.Cold), zap.Any("rejected", chc.Rejected))
+		zap.Bool("warm", chc.Warm), zap.Bool("cold", chc.Cold), zap.Inline(chc.Rejected))
 	go func() {
 		defer cancel()
 		atm.rep, atm.err = frt.cfg.Sender.Do(sctx, chc.Instance, run.msg)
--- a/internal/steer/place/choose.go
+++ b/internal/steer/place/choose.go
@@ -1,13 +1,12 @@
 package place
 
 import (
-	"cmp"
 	"math"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap/zapcore"
 
 	"cardamompass"
 )
@@ -16,6 +15,8 @@
 	// closeRanks is the number of ranked instances among which the fastest is taken. More of them spread an object over more
 	// instances, each of which has to handle it once before it is fast and keeps only some tens of objects.
 	closeRanks = 2
+	// ranksKept is the number of ranked instances that a choice considers at all.
+	ranksKept = 12
 	// spareLoad is the load relative to the slots below which an instance beyond the close ranks, or a second one for the same
 	// request, may be used. Above it, work that is slow there takes the room of work that is fast.
 	spareLoad = 0.5
@@ -73,6 +74,27 @@
 	Leaving, Evacuated, Away, Tried, Avoided, Cold, Full int
 }
 
+// MarshalLogObject implements zapcore.ObjectMarshaler. Reasons without instances are left out.
+func (rej Rejected) MarshalLogObject(enc zapcore.ObjectEncoder) (err error) {
+	for _, cnt := range []struct {
+		reason string
+		count  int
+	}{
+		{"leaving", rej.Leaving},
+		{"evacuated", rej.Evacuated},
+		{"away", rej.Away},
+		{"tried", rej.Tried},
+		{"avoided", rej.Avoided},
+		{"cold-full", rej.Cold},
+		{"full", rej.Full},
+	} {
+		if cnt.count > 0 {
+			enc.AddInt(cnt.reason, cnt.count)
+		}
+	}
+	return nil
+}
+
 // ObjectHash hashes an object of a service. Objects of one name are different in each service.
 func ObjectHash(svc cardamompass.ServiceName, object string) (hash uint64) {
 	return xxhash.Sum64String(string(svc) + "\x00" + object)
@@ -143,38 +165,57 @@
 	warm     bool
 }
 
-// rank returns the usable instances in the order of the object. Instances to avoid are used only when there are no others.
+// rank returns the first usable instances in the order of the object. Instances to avoid are used only when there are no others.
 func (brd *Board) rank(qry Query) (ranked []candidate, rej Rejected) {
 	div := brd.division(qry.Service, qry.Now)
 	region := regionOf(div, brd.cfg.Region, float64(qry.Object>>11)/(1<<53))
 	var avoided []candidate
-	for _, ins := range brd.vew.Instances(qry.Service) {
-		sta, ok := brd.states[ins.ID]
-		if !ok || !brd.usable(qry, ins, sta, &rej) {
+	ranked = make([]candidate, 0, ranksKept+1)
+	for _, sta := range brd.byService[qry.Service] {
+		if !brd.usable(qry, sta, &rej) {
 			continue
 		}
 		cnd := candidate{
 			sta:   sta,
-			order: regionOrder(ins.Region, region, brd.cfg.Region),
-			hash:  mix(qry.Object, string(ins.ID)),
+			order: regionOrder(sta.ins.Region, region, brd.cfg.Region),
+			hash:  mix(qry.Object, sta.hash),
 		}
 		if qry.Now.Before(sta.avoidUntil) {
 			rej.Avoided++
-			avoided = append(avoided, cnd)
+			avoided = insert(avoided, cnd)
 			continue
 		}
-		ranked = append(ranked, cnd)
+		ranked = insert(ranked, cnd)
 	}
 	if len(ranked) == 0 {
 		ranked = avoided
 	}
-	slices.SortFunc(ranked, func(one, two candidate) int {
-		return cmp.Or(cmp.Compare(one.order, two.order), cmp.Compare(two.hash, one.hash))
-	})
 	return ranked, rej
 }
 
-func (brd *Board) usable(qry Query, ins cardamompass.Instance, sta *state, rej *Rejected) (ok bool) {
+// insert puts a candidate into its place and keeps the first ranksKept.
+func insert(ranked []candidate, cnd candidate) (out []candidate) {
+	pos := len(ranked)
+	for pos > 0 && cnd.before(ranked[pos-1]) {
+		pos--
+	}
+	if pos == ranksKept {
+		return ranked
+	}
+	ranked = slices.Insert(ranked, pos, cnd)
+	return ranked[:min(len(ranked), ranksKept)]
+}
+
+// before reports whether the candidate comes before another in the order of the object.
+func (cnd candidate) before(oth candidate) (ok bool) {
+	if cnd.order != oth.order {
+		return cnd.order < oth.order
+	}
+	return cnd.hash > oth.hash
+}
+
+func (brd *Board) usable(qry Query, sta *state, rej *Rejected) (ok bool) {
+	ins := &sta.ins
 	switch {
 	case ins.Leaving:
 		rej.Leaving++
@@ -184,7 +225,7 @@
 		rej.Away++
 	case slices.Contains(qry.Tried, ins.ID):
 		rej.Tried++
-	case !sta.coldRoom(brd.coldQuota(ins, qry.Now), qry.Now):
+	case qry.Now.Before(sta.coldUntil) && !sta.coldRoom(brd.coldQuota(ins, qry.Now), qry.Now):
 		rej.Cold++
 	default:
 		return true
@@ -194,14 +235,18 @@
 
 // coldQuota is the number of requests a second that this VM may send to a cold instance. The quotas of all VMs add up to the bound,
 // less one for the requests that cross a change of the number of VMs.
-func (brd *Board) coldQuota(ins cardamompass.Instance, now time.Time) (quota int) {
+func (brd *Board) coldQuota(ins *cardamompass.Instance, now time.Time) (quota int) {
 	total := int(math.Floor(brd.policy(ins.Service).ColdRate*brd.cfg.ColdOverage+brd.cfg.ColdSlack)) - 1
 	count := brd.vms.count(now)
 	quota = total / count
-	own := mix(xxhash.Sum64String(string(ins.ID)), string(brd.cfg.Self))
+	if total%count == 0 {
+		return quota
+	}
+	seed := xxhash.Sum64String(string(ins.ID))
+	own := mix(seed, nameHash(string(brd.cfg.Self)))
 	before := 0
 	for _, vmc := range brd.vew.VMs() {
-		if vmc.ID != brd.cfg.Self && mix(xxhash.Sum64String(string(ins.ID)), string(vmc.ID)) < own {
+		if vmc.ID != brd.cfg.Self && mix(seed, nameHash(string(vmc.ID))) < own {
 			before++
 		}
 	}
@@ -244,8 +289,12 @@
 	}
 }
 
-// mix hashes a name with a seed, well enough spread to order instances for an object.
-func mix(seed uint64, name string) (hash uint64) {
-	var buf [64]byte
-	return xxhash.Sum64(append(strconv.AppendUint(buf[:0], seed, 36), name...))
+// mix combines two hashes, well enough spread to order instances for an object. It is the finalizer of a 64-bit mixing function.
+func mix(one, two uint64) (hash uint64) {
+	hash = one ^ (two * 0x9e3779b97f4a7c15)
+	hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9
+	hash = (hash ^ (hash >> 27)) * 0x94d049bb133111eb
+	return hash ^ (hash >> 31)
 }
+
+func nameHash(name string) (hash uint64) { return xxhash.Sum64String(name) }
--- a/internal/steer/place/parts.go
+++ b/internal/steer/place/parts.go
@@ -17,24 +17,33 @@
 
 // parts is how the objects of this VM's region are divided among the regions that serve a service. The sum is 1.
 type parts struct {
-	now map[cardamompass.Region]float64
-	at  time.Time
+	now  map[cardamompass.Region]float64
+	at   time.Time
+	want map[cardamompass.Region]float64 // nil after the registrations have changed
 }
 
+// divisionInterval is the time between two steps of a division on its way to what the registrations ask for.
+const divisionInterval = 100 * time.Millisecond
+
 // division returns the parts of a service at a time, moved towards what the registrations ask for.
 func (brd *Board) division(svc cardamompass.ServiceName, now time.Time) (div map[cardamompass.Region]float64) {
-	want := wanted(brd.room(svc), brd.demand(), brd.cfg.Region)
 	prt, ok := brd.parts[svc]
-	if !ok || prt.now == nil {
-		brd.parts[svc] = &parts{
-			now: want,
-			at:  now,
+	if !ok {
+		prt = &parts{
+			at: now,
 		}
-		return want
+		brd.parts[svc] = prt
+	}
+	if prt.want == nil {
+		prt.want = wanted(brd.room(svc), brd.demand(), brd.cfg.Region)
+	}
+	if len(prt.now) == 0 {
+		prt.now, prt.at = prt.want, now
+	}
+	if ela := now.Sub(prt.at); ela >= divisionInterval {
+		prt.now = toward(prt.now, prt.want, brd.cfg.MaxRegionShift*shiftSafety*ela.Seconds()/shiftWindow.Seconds())
+		prt.at = now
 	}
-	step := brd.cfg.MaxRegionShift * shiftSafety * now.Sub(prt.at).Seconds() / shiftWindow.Seconds()
-	prt.now = toward(prt.now, want, step)
-	prt.at = now
 	return prt.now
 }
 
--- a/internal/steer/place/place.go
+++ b/internal/steer/place/place.go
@@ -39,10 +39,12 @@
 	mu     sync.Mutex
 	vew    *view.View
 	states map[cardamompass.InstanceID]*state
-	parts  map[cardamompass.ServiceName]*parts
-	trails map[uint64]*trail
-	vms    census
-	synced bool
+	// byService lists the states of a service's instances.
+	byService map[cardamompass.ServiceName][]*state
+	parts     map[cardamompass.ServiceName]*parts
+	trails    map[uint64]*trail
+	vms       census
+	synced    bool
 }
 
 // New returns a Board that knows no instance.
@@ -84,6 +86,13 @@
 			delete(brd.states, id)
 		}
 	}
+	brd.byService = make(map[cardamompass.ServiceName][]*state)
+	for _, sta := range brd.states {
+		brd.byService[sta.ins.Service] = append(brd.byService[sta.ins.Service], sta)
+	}
+	for _, prt := range brd.parts {
+		prt.want = nil
+	}
 	brd.synced = brd.synced || vew.Table != nil
 }
 
--- a/internal/steer/place/state.go
+++ b/internal/steer/place/state.go
@@ -27,7 +27,8 @@
 // state is what the VM knows of an instance.
 type state struct {
 	ins        cardamompass.Instance
-	inFlight   int // own requests
+	hash       uint64 // of the id
+	inFlight   int    // own requests
 	load       cardamompass.Load
 	loadAt     time.Time
 	loadOthers int // requests of other VMs at loadAt
@@ -41,7 +42,8 @@
 
 func newState(ins cardamompass.Instance) (sta *state) {
 	return &state{
-		ins: ins,
+		ins:  ins,
+		hash: nameHash(string(ins.ID)),
 	}
 }
 
