front: refuse content that crashed three targets; batch changes of the store; tests

Change: a broken connection to a target that no longer listens is reported through the store by content and instance; three crashed instances without an answer since block the content. A pause of 200 ms after changes.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -48,8 +48,10 @@
 	// View returns the current view of the fleet, Age the time since the store's last answer.
 	View func() *view.View
 	Age  func() time.Duration
-	// Crashed is called with the fingerprint of a request in flight at an instance that crashed. Optional.
-	Crashed func(fingerprint string)
+	// Crashed is told of a request that was in flight at an instance when that crashed. It must not block.
+	Crashed func(crs cardamompass.Crash)
+	// Dial opens connections to targets, to see whether they listen.
+	Dial func(ctx context.Context, network, address string) (con net.Conn, err error)
 }
 
 // Front is the handler of callers' requests. It is safe for concurrent use.
@@ -63,16 +65,20 @@
 	mu      sync.Mutex
 	budgets map[cardamompass.ServiceName]*budget.Budget
 	splits  map[string]*split
+	cleared map[string]bool // fingerprints of known crashes that were answered since
+	checks  sync.WaitGroup
 }
 
-// New returns a Front.
-func New(cfg Config) (frt *Front) {
-	return &Front{
+// New returns a Front and the function that waits for what it does in the background.
+func New(cfg Config) (frt *Front, cleanup func()) {
+	frt = &Front{
 		cfg:     cfg,
 		met:     newMetrics(cfg.Scope),
 		budgets: make(map[cardamompass.ServiceName]*budget.Budget),
 		splits:  make(map[string]*split),
+		cleared: make(map[string]bool),
 	}
+	return frt, frt.checks.Wait
 }
 
 // Stop makes each answer end its connection, so that callers move to other VMs.
@@ -184,8 +190,9 @@
 		obj = place.ObjectHash(exc.service, exc.inc.Object)
 	}
 	run := &job{
-		exc:    exc,
-		object: obj,
+		exc:         exc,
+		object:      obj,
+		fingerprint: fingerprint(exc.req, exc.inc, body),
 		msg: send.Message{
 			ID:       exc.inc.ID,
 			Method:   exc.req.Method,
@@ -197,6 +204,10 @@
 			Deadline: exc.start.Add(wait),
 		},
 	}
+	if exc.frt.crashing(exc.vew, run.fingerprint) {
+		exc.refuse("requests with this content crash targets")
+		return
+	}
 	ctx := exc.req.Context()
 	if !exc.route.Idempotent {
 		// Work that may run only once is not cut when its caller leaves; the deadline ends it.
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -25,9 +25,11 @@
 	exc    *exchange
 	msg    send.Message
 	object uint64
-	tried  []cardamompass.InstanceID
-	sent   int // requests that reached a target
-	unsent int // tries that ended before a target was reached
+	// fingerprint identifies the content.
+	fingerprint string
+	tried       []cardamompass.InstanceID
+	sent        int // requests that reached a target
+	unsent      int // tries that ended before a target was reached
 	// mayHaveRun is set once a target may have run the request.
 	mayHaveRun bool
 	fallback   *send.Reply // a failure that a target answered
@@ -140,6 +142,7 @@
 	if atm.err == nil {
 		run.sent++
 		run.mayHaveRun = true
+		run.exc.frt.clear(run.exc.vew, run.fingerprint)
 		if atm.rep.Status < http.StatusInternalServerError && !promise(atm.rep.Status) {
 			return true
 		}
@@ -162,6 +165,9 @@
 	}
 	run.sent++
 	run.mayHaveRun = run.mayHaveRun || !fai.NotRun
+	if fai.Kind == send.KindBroken && !fai.Answered {
+		run.exc.frt.checkCrash(atm.chc.Instance, run.fingerprint)
+	}
 	return false
 }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -87,12 +87,14 @@
 	}
 	scp := cfg.Metrics.Scope()
 	opened := scp.Counter("target-connections")
-	nod.sender = nod.owned(send.New(send.Config{
-		Protocol: cfg.Protocol,
-		Clock:    cfg.Clock,
-		Dial:     send.Dialer(targetSilence),
-		Opened:   func() { opened.Inc(1) },
-	}))
+	nod.sender = own(nod, func() (*send.Sender, func()) {
+		return send.New(send.Config{
+			Protocol: cfg.Protocol,
+			Clock:    cfg.Clock,
+			Dial:     send.Dialer(targetSilence),
+			Opened:   func() { opened.Inc(1) },
+		})
+	})
 	nod.follower = own(nod, func() (*view.Follower, func()) {
 		return view.New(view.Config{
 			Registry: cfg.Registry,
@@ -102,16 +104,21 @@
 		})
 	})
 	nod.presence = own(nod, func() (*presence, func()) { return newPresence(nod) })
-	nod.front = front.New(front.Config{
-		Settings: set,
-		Protocol: cfg.Protocol,
-		Clock:    cfg.Clock,
-		Log:      cfg.Log,
-		Scope:    scp,
-		Board:    nod.board,
-		Sender:   nod.sender,
-		View:     nod.follower.View,
-		Age:      nod.follower.Age,
+	reports := own(nod, func() (*reporter, func()) { return newReporter(cfg) })
+	nod.front = own(nod, func() (*front.Front, func()) {
+		return front.New(front.Config{
+			Settings: set,
+			Protocol: cfg.Protocol,
+			Clock:    cfg.Clock,
+			Log:      cfg.Log,
+			Scope:    scp,
+			Board:    nod.board,
+			Sender:   nod.sender,
+			View:     nod.follower.View,
+			Age:      nod.follower.Age,
+			Crashed:  reports.crashed,
+			Dial:     send.Dialer(targetSilence),
+		})
 	})
 	if err = nod.listen(); err != nil {
 		nod.close()
@@ -128,11 +135,6 @@
 	return part
 }
 
-func (nod *Node) owned(snd *send.Sender, cleanup func()) *send.Sender {
-	nod.cleanups = append(nod.cleanups, cleanup)
-	return snd
-}
-
 // every calls fun at an interval until the node is closed.
 func (nod *Node) every(interval time.Duration, fun func()) {
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/edge/send/send_test.go
@@ -0,0 +1,282 @@
+package send_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"cardamompass"
+	"cardamompass/internal/edge/send"
+	"cardamompass/internal/stand/ptarg"
+	"cardamompass/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func newSender(t *testing.T) (snd *send.Sender) {
+	t.Helper()
+	snd, stop := send.New(send.Config{
+		Protocol: platform.Protocol{},
+		Clock:    cardamompass.SystemClock{},
+		Dial:     send.Dialer(time.Second),
+	})
+	t.Cleanup(stop)
+	return snd
+}
+
+func newTarget(t *testing.T) (tgt *ptarg.Target, ins cardamompass.Instance) {
+	t.Helper()
+	tgt, stop, err := ptarg.New(ptarg.Config{
+		ID:      "i-1",
+		Address: "127.0.0.1:0",
+		Slots:   6,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	return tgt, cardamompass.Instance{
+		ID:      "i-1",
+		Service: "svc",
+		Address: tgt.Address(),
+		Slots:   6,
+	}
+}
+
+func message(id string) (msg send.Message) {
+	return send.Message{
+		ID:     cardamompass.RequestID(id),
+		Method: http.MethodPost,
+		URI:    "/a/b?c=%20d",
+		Host:   "h.example",
+		Header: http.Header{
+			"Request-Id": {id},
+		},
+		Body:     []byte("body of " + id),
+		HasBody:  true,
+		Deadline: time.Now().Add(5 * time.Second),
+	}
+}
+
+// Guards against a request that changes on its way, and against time left that is longer than the caller's.
+func TestWholeAnswer(t *testing.T) {
+	snd := newSender(t)
+	tgt, ins := newTarget(t)
+	for _, id := range []string{"r-1", "r-2", "r-3"} {
+		rep, err := snd.Do(t.Context(), ins, message(id))
+		if err != nil || rep.Status != http.StatusOK || string(rep.Body) != ptarg.Body(id) || !rep.Stated.Signed {
+			t.Fatalf("reply %+v, error %v", rep, err)
+		}
+	}
+	runs := tgt.Runs()
+	if len(runs) != 3 || runs[0].Path != "/a/b?c=%20d" || runs[0].Body != "body of r-1" || runs[0].Method != http.MethodPost {
+		t.Fatalf("runs %+v", runs)
+	}
+	if left := runs[0].Timeout; len(left) != 4 || left > "5000" {
+		t.Fatalf("time left %q", left)
+	}
+	if tgt.Connections() != 1 {
+		t.Fatalf("%d connections for three requests one after the other", tgt.Connections())
+	}
+}
+
+// Guards against a failure that claims that a request has not run though it has, and against broken answers that look whole.
+func TestFaultyTargets(t *testing.T) {
+	tests := []struct {
+		fault  ptarg.Fault
+		kind   send.Kind // empty for an answer
+		notRun bool
+		status int
+	}{
+		{ptarg.FaultReset, send.KindBroken, false, 0},
+		{ptarg.FaultCut, send.KindBroken, false, 0},
+		{ptarg.FaultGarbage, send.KindGarbled, false, 0},
+		{ptarg.FaultTwice, "", false, 200},
+		{ptarg.FaultUnframed, "", false, 200},
+		{ptarg.FaultError, "", false, 500},
+		{ptarg.FaultShed, send.KindShed, true, 0},
+		{ptarg.FaultFalse503, "", false, 503},
+		{ptarg.FaultCompressed, send.KindGarbled, false, 0},
+		{ptarg.FaultUnsigned, send.KindGarbled, false, 0},
+		{ptarg.FaultSilent, send.KindTimeout, false, 0},
+	}
+	for _, tst := range tests {
+		t.Run(string(tst.fault), func(t *testing.T) {
+			snd := newSender(t)
+			tgt, ins := newTarget(t)
+			tgt.Set(tst.fault)
+			msg := message("r-1")
+			if tst.fault == ptarg.FaultSilent {
+				msg.Deadline = time.Now().Add(100 * time.Millisecond)
+			}
+			rep, err := snd.Do(t.Context(), ins, msg)
+			if tst.kind == "" {
+				if err != nil || rep.Status != tst.status || string(rep.Body) != ptarg.Body("r-1") {
+					t.Fatalf("reply %+v, error %v", rep, err)
+				}
+				return
+			}
+			var fai *send.Failure
+			if !errors.As(err, &fai) || fai.Kind != tst.kind || fai.NotRun != tst.notRun {
+				t.Fatalf("error %#v", err)
+			}
+			if ran := len(tgt.Runs()) > 0; ran && fai.NotRun {
+				t.Fatal("the request ran")
+			}
+			tgt.Set(ptarg.FaultNone)
+			if rep, err = snd.Do(t.Context(), ins, message("r-2")); err != nil || string(rep.Body) != ptarg.Body("r-2") {
+				t.Fatalf("next request: reply %+v, error %v", rep, err)
+			}
+		})
+	}
+}
+
+// Guards against giving a caller the second answer to an earlier request, which arrives where its own answer is expected.
+func TestSurplusAnswerIsSkipped(t *testing.T) {
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lsn.Close()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		con, err := lsn.Accept()
+		if err != nil {
+			return
+		}
+		defer con.Close()
+		buf := make([]byte, 4096)
+		for _, answers := range [][]string{{"r-1"}, {"r-1", "r-2"}} {
+			if _, err = con.Read(buf); err != nil {
+				return
+			}
+			for _, id := range answers {
+				_, _ = con.Write([]byte("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nResponse-Seal: s\r\nContent-Length: 3\r\n\r\n" + id))
+			}
+		}
+	}()
+	snd := newSender(t)
+	ins := cardamompass.Instance{
+		ID:      "i-1",
+		Address: lsn.Addr().String(),
+	}
+	for _, id := range []string{"r-1", "r-2"} {
+		rep, err := snd.Do(t.Context(), ins, message(id))
+		if err != nil || string(rep.Body) != id {
+			t.Fatalf("reply %q, error %v, want %q", rep.Body, err, id)
+		}
+	}
+	<-done
+}
+
+// Guards against sending on a connection on which bytes arrived that belong to no request.
+func TestConnectionWithSurplusIsNotReused(t *testing.T) {
+	snd := newSender(t)
+	tgt, ins := newTarget(t)
+	tgt.Set(ptarg.FaultTwice)
+	if _, err := snd.Do(t.Context(), ins, message("r-1")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond) // the second answer is sent after 20 ms
+	tgt.Set(ptarg.FaultNone)
+	rep, err := snd.Do(t.Context(), ins, message("r-2"))
+	if err != nil || string(rep.Body) != ptarg.Body("r-2") || tgt.Connections() != 2 {
+		t.Fatalf("reply %q, error %v, %d connections", rep.Body, err, tgt.Connections())
+	}
+}
+
+// Guards against the request of one target run by another that got its address.
+func TestOtherInstance(t *testing.T) {
+	snd := newSender(t)
+	tgt, ins := newTarget(t)
+	ins.ID = "i-0"
+	_, err := snd.Do(t.Context(), ins, message("r-1"))
+	var fai *send.Failure
+	if !errors.As(err, &fai) || fai.Kind != send.KindOther || !fai.NotRun || len(tgt.Runs()) != 0 {
+		t.Fatalf("error %v, runs %v", err, tgt.Runs())
+	}
+}
+
+// Guards against an unsent request that counts as possibly run, which would keep its caller from coming again.
+func TestNothingListens(t *testing.T) {
+	lsn, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := lsn.Addr().String()
+	lsn.Close()
+	_, err = newSender(t).Do(t.Context(), cardamompass.Instance{
+		ID:      "i-1",
+		Address: address,
+	}, message("r-1"))
+	var fai *send.Failure
+	if !errors.As(err, &fai) || fai.Kind != send.KindRefused || !fai.NotRun {
+		t.Fatalf("error %v", err)
+	}
+}
+
+// Guards against a sender that waits for ever to write a long body to a target that has answered already, and against the rest of that
+// body being taken for the next request.
+func TestEarlyAnswerToLongBody(t *testing.T) {
+	snd := newSender(t)
+	tgt, ins := newTarget(t)
+	tgt.Set(ptarg.FaultEarly)
+	msg := message("r-1")
+	msg.Body = []byte(strings.Repeat("x", 8<<20))
+	rep, err := snd.Do(t.Context(), ins, msg)
+	if err != nil || rep.Status != http.StatusBadRequest {
+		t.Fatalf("status %d, error %v", rep.Status, err)
+	}
+	tgt.Set(ptarg.FaultNone)
+	if _, err = snd.Do(t.Context(), ins, message("r-2")); err != nil {
+		t.Fatal(err)
+	}
+	if runs := tgt.Runs(); len(runs) != 1 || runs[0].Body != "body of r-2" {
+		t.Fatalf("runs %+v", runs)
+	}
+}
+
+// Guards against work that goes on at a target after its caller has left.
+func TestCancelClosesTheConnection(t *testing.T) {
+	snd := newSender(t)
+	tgt, ins := newTarget(t)
+	tgt.Set(ptarg.FaultSilent)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		_, err := snd.Do(ctx, ins, message("r-1"))
+		done <- err
+	}()
+	for len(tgt.Runs()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	var fai *send.Failure
+	if err := <-done; !errors.As(err, &fai) || fai.Kind != send.KindCancelled || fai.NotRun {
+		t.Fatalf("error %v", err)
+	}
+}
+
+// Guards against a request that is sent on a connection that the target has closed meanwhile.
+func TestClosedConnectionIsNotReused(t *testing.T) {
+	snd := newSender(t)
+	tgt, ins := newTarget(t)
+	tgt.Set(ptarg.FaultTwice) // ends its connection a second after the answer
+	if _, err := snd.Do(t.Context(), ins, message("r-1")); err != nil {
+		t.Fatal(err)
+	}
+	tgt.Set(ptarg.FaultNone)
+	for num := range 20 {
+		if _, err := snd.Do(t.Context(), ins, message("r-x")); err != nil {
+			t.Fatalf("request %d: %v", num, err)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/fleet/view/follow.go
+++ b/internal/fleet/view/follow.go
@@ -15,6 +15,9 @@
 	// watchWait is how long the store holds a watch without changes. A connection that went silent is noticed only when the wait is
 	// over, and changes must be in force about two seconds after their acknowledgement.
 	watchWait = 1500 * time.Millisecond
+	// batchWait is the pause after changes, so that changes in quick succession take one call; calls are priced and changes have two
+	// seconds to come into force.
+	batchWait = 200 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call. Refused calls are priced like others.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
@@ -154,6 +157,7 @@
 		return
 	}
 	flw.publish(flw.View().With(ftc.chs, ftc.revision, flw.out, now))
+	flw.sleep(ctx, batchWait)
 }
 
 func (flw *Follower) failed(ctx context.Context, err error) {
@@ -164,9 +168,13 @@
 		flw.cfg.Log.Warn("store lost", zap.Error(err), zap.Duration("age", flw.Age()))
 	}
 	flw.out.Lasts = true
-	tmr := flw.cfg.Clock.NewTimer(flw.pause)
-	defer tmr.Stop()
+	flw.sleep(ctx, flw.pause)
 	flw.pause = min(2*flw.pause, retryMost)
+}
+
+func (flw *Follower) sleep(ctx context.Context, dur time.Duration) {
+	tmr := flw.cfg.Clock.NewTimer(dur)
+	defer tmr.Stop()
 	select {
 	case <-ctx.Done():
 	case <-tmr.C():
@@ -204,8 +212,8 @@
 			log.Info("vm running", zap.String("vm", string(chg.VM.ID)), zap.String("address", chg.VM.CallerAddress))
 		case chg.VMGone != "":
 			log.Info("vm gone", zap.String("vm", string(chg.VMGone)))
-		case chg.Crasher != "":
-			log.Warn("crashing request known", zap.String("fingerprint", chg.Crasher))
+		case chg.Crash != nil:
+			log.Warn("crash known", zap.String("fingerprint", chg.Crash.Fingerprint), zap.String("instance", string(chg.Crash.Instance)))
 		}
 	}
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -1,7 +1,7 @@
 // Package view holds what an entry VM knows of the fleet from the platform's store, and follows the store's changes.
 //
 // A View is an immutable snapshot: the routing table, the registered instances of targets, the evacuated failure domains, the
-// running VMs and the requests known to crash targets. A Follower lists the store, watches it and publishes a new View after each
+// running VMs and the crashes of targets. A Follower lists the store, watches it and publishes a new View after each
 // change. The version of the routing table in a process never decreases.
 package view
 
@@ -38,7 +38,8 @@
 	missing   map[cardamompass.InstanceID]time.Time // kept only until then
 	evacuated map[cardamompass.FailureDomain]bool
 	vms       map[cardamompass.VMID]cardamompass.VM
-	crashers  map[string]bool
+	crashes   map[cardamompass.Crash]bool
+	crashed   map[string]int // instances by fingerprint
 	services  map[cardamompass.ServiceName][]cardamompass.Instance
 }
 
@@ -77,8 +78,8 @@
 	return vmc, ok
 }
 
-// Crasher reports whether a request with this fingerprint is known to crash targets.
-func (vew *View) Crasher(fingerprint string) bool { return vew.crashers[fingerprint] }
+// Crashes returns the number of instances that crashed while a request with this fingerprint was in flight there.
+func (vew *View) Crashes(fingerprint string) (count int) { return vew.crashed[fingerprint] }
 
 // With returns the view after changes, in their order. now is the time at which they were learned.
 func (vew *View) With(chs []cardamompass.Change, revision int64, out Outage, now time.Time) (next *View) {
@@ -97,7 +98,7 @@
 	next.Revision = revision
 	next.evacuated = make(map[cardamompass.FailureDomain]bool)
 	next.vms = make(map[cardamompass.VMID]cardamompass.VM)
-	next.crashers = make(map[string]bool)
+	next.crashes = make(map[cardamompass.Crash]bool)
 	listed := make(map[cardamompass.InstanceID]bool)
 	for _, chg := range chs {
 		next.apply(chg, out, now)
@@ -142,14 +143,14 @@
 		missing:   maps.Clone(vew.missing),
 		evacuated: maps.Clone(vew.evacuated),
 		vms:       maps.Clone(vew.vms),
-		crashers:  maps.Clone(vew.crashers),
+		crashes:   maps.Clone(vew.crashes),
 	}
 	if next.instances == nil {
 		next.instances = make(map[cardamompass.InstanceID]cardamompass.Instance)
 		next.missing = make(map[cardamompass.InstanceID]time.Time)
 		next.evacuated = make(map[cardamompass.FailureDomain]bool)
 		next.vms = make(map[cardamompass.VMID]cardamompass.VM)
-		next.crashers = make(map[string]bool)
+		next.crashes = make(map[cardamompass.Crash]bool)
 	}
 	return next
 }
@@ -176,10 +177,10 @@
 		vew.vms[chg.VM.ID] = *chg.VM
 	case chg.VMGone != "":
 		delete(vew.vms, chg.VMGone)
-	case chg.Crasher != "":
-		vew.crashers[chg.Crasher] = true
-	case chg.CrasherGone != "":
-		delete(vew.crashers, chg.CrasherGone)
+	case chg.Crash != nil:
+		vew.crashes[*chg.Crash] = true
+	case chg.CrashGone != nil:
+		delete(vew.crashes, *chg.CrashGone)
 	}
 }
 
@@ -209,6 +210,10 @@
 	for _, ins := range vew.instances {
 		vew.services[ins.Service] = append(vew.services[ins.Service], ins)
 	}
+	vew.crashed = make(map[string]int)
+	for crs := range vew.crashes {
+		vew.crashed[crs.Fingerprint]++
+	}
 	for _, list := range vew.services {
 		slices.SortFunc(list, func(one, two cardamompass.Instance) int {
 			return strings.Compare(string(one.ID), string(two.ID))
--- /dev/null
+++ b/internal/fleet/view/view_test.go
@@ -0,0 +1,124 @@
+package view_test
+
+import (
+	"testing"
+	"time"
+
+	"cardamompass"
+	"cardamompass/internal/fleet/view"
+)
+
+var start = time.Unix(1000, 0)
+
+func instance(id string) (chg cardamompass.Change) {
+	return cardamompass.Change{
+		Instance: &cardamompass.Instance{
+			ID:      cardamompass.InstanceID(id),
+			Service: "svc",
+			Slots:   6,
+		},
+	}
+}
+
+func table(version uint64) (chg cardamompass.Change) {
+	return cardamompass.Change{
+		Table: &cardamompass.RoutingTable{
+			Version: version,
+		},
+	}
+}
+
+func gone(id string) (chg cardamompass.Change) {
+	return cardamompass.Change{
+		InstanceGone: cardamompass.InstanceID(id),
+	}
+}
+
+// Guards against a VM that goes back to an older routing table, from a late event or a listing.
+func TestTableNeverGoesBack(t *testing.T) {
+	vew := view.Empty().WithListing([]cardamompass.Change{table(7)}, 5, view.Outage{}, start)
+	vew = vew.With([]cardamompass.Change{table(3)}, 6, view.Outage{}, start)
+	vew = vew.WithListing([]cardamompass.Change{table(5)}, 7, view.Outage{}, start)
+	vew = vew.WithListing(nil, 8, view.Outage{}, start)
+	if vew.Table.Version != 7 {
+		t.Fatalf("version %d, want 7", vew.Table.Version)
+	}
+}
+
+// Guards against losing all targets when their entries lapse with the store, and against keeping targets that are gone.
+func TestInstancesThatDisappear(t *testing.T) {
+	tests := []struct {
+		name    string
+		out     view.Outage
+		now     time.Time
+		leaving bool
+		usable  bool
+		purged  bool // two seconds after the store's return
+	}{
+		{"store in order", view.Outage{}, start, false, false, true},
+		{"store away", view.Outage{Lasts: true}, start, false, true, true},
+		{"just after its return", view.Outage{Ended: start.Add(-time.Second)}, start, false, true, true},
+		{"long after its return", view.Outage{Ended: start.Add(-5 * time.Second)}, start, false, false, true},
+		{"a leaving one while the store is away", view.Outage{Lasts: true}, start, true, false, true},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			chg := instance("i-1")
+			chg.Instance.Leaving = tst.leaving
+			vew := view.Empty().With([]cardamompass.Change{chg}, 1, view.Outage{}, start)
+			vew = vew.With([]cardamompass.Change{gone("i-1")}, 2, tst.out, tst.now)
+			if got := len(vew.Instances("svc")) == 1; got != tst.usable {
+				t.Fatalf("usable %v, want %v", got, tst.usable)
+			}
+			vew, _ = vew.WithoutMissing(tst.now.Add(view.ReturnTime + time.Millisecond))
+			if got := len(vew.Instances("svc")) == 0; got != tst.purged {
+				t.Fatalf("purged %v, want %v", got, tst.purged)
+			}
+		})
+	}
+}
+
+// Guards against dropping a target that registered again in time.
+func TestInstanceReturns(t *testing.T) {
+	away := view.Outage{
+		Lasts: true,
+	}
+	vew := view.Empty().With([]cardamompass.Change{instance("i-1")}, 1, view.Outage{}, start)
+	vew = vew.WithListing(nil, 2, away, start)
+	vew = vew.With([]cardamompass.Change{instance("i-1")}, 3, view.Outage{Ended: start}, start)
+	vew, lost := vew.WithoutMissing(start.Add(time.Minute))
+	if len(lost) > 0 || len(vew.Instances("svc")) != 1 {
+		t.Fatalf("lost %v", lost)
+	}
+}
+
+// Guards against a target that stays in use after its entry was overwritten by something that can't be read.
+func TestRejectedEntryRemovesInstance(t *testing.T) {
+	vew := view.Empty().With([]cardamompass.Change{instance("i-1"), {
+		InstanceGone: "i-1",
+		Rejected:     &cardamompass.RejectedEntry{},
+	}}, 2, view.Outage{Lasts: true}, start)
+	if len(vew.Instances("svc")) != 0 {
+		t.Fatal("the instance is still used")
+	}
+}
+
+// Guards against evacuations and VMs that a listing no longer contains but that stay in force.
+func TestListingReplaces(t *testing.T) {
+	vew := view.Empty().With([]cardamompass.Change{
+		{Evacuated: "z-1"},
+		{VM: &cardamompass.VM{ID: "vm-1"}},
+		{Crash: &cardamompass.Crash{Fingerprint: "c-1", Instance: "i-1"}},
+	}, 1, view.Outage{}, start)
+	if !vew.Evacuated("z-1") || len(vew.VMs()) != 1 || vew.Crashes("c-1") != 1 {
+		t.Fatal("changes were not applied")
+	}
+	old := vew
+	vew = vew.WithListing(nil, 2, view.Outage{}, start)
+	if vew.Evacuated("z-1") || len(vew.VMs()) != 0 || vew.Crashes("c-1") != 0 {
+		t.Fatal("a listing kept what it did not contain")
+	}
+	if !old.Evacuated("z-1") {
+		t.Fatal("a new view changed the old one")
+	}
+}
--- /dev/null
+++ b/internal/stand/pstore/calls.go
@@ -0,0 +1,186 @@
+package pstore
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+func (sto *Store) get(wrt http.ResponseWriter, req *http.Request) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	itm, ok := sto.items[req.URL.Query().Get("key")]
+	if !ok {
+		wrt.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(wrt, http.StatusOK, struct {
+		item
+		CurrentRev int64 `json:"currentRev"`
+	}{
+		item:       itm,
+		CurrentRev: sto.rev,
+	})
+}
+
+func (sto *Store) list(wrt http.ResponseWriter, req *http.Request) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	query := req.URL.Query()
+	var page struct {
+		Items      []item `json:"items"`
+		HasMore    bool   `json:"hasMore"`
+		CurrentRev int64  `json:"currentRev"`
+	}
+	page.Items = []item{}
+	page.CurrentRev = sto.rev
+	for key, itm := range sto.items {
+		if strings.HasPrefix(key, query.Get("prefix")) && key > query.Get("after") {
+			page.Items = append(page.Items, itm)
+		}
+	}
+	slices.SortFunc(page.Items, func(one, two item) int { return strings.Compare(one.Key, two.Key) })
+	if len(page.Items) > pageItems {
+		page.Items, page.HasMore = page.Items[:pageItems], true
+	}
+	answer(wrt, http.StatusOK, page)
+}
+
+func (sto *Store) watch(wrt http.ResponseWriter, req *http.Request) {
+	query := req.URL.Query()
+	after, prefix := number(query.Get("after")), query.Get("prefix")
+	wait := time.NewTimer(time.Duration(number(query.Get("waitMs"))) * time.Millisecond)
+	defer wait.Stop()
+	for over := false; ; {
+		sto.mu.Lock()
+		if sto.faults.Outage {
+			sto.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if after < sto.floor {
+			sto.mu.Unlock()
+			wrt.WriteHeader(http.StatusGone)
+			return
+		}
+		events := []item{}
+		for _, itm := range sto.history {
+			if itm.Rev > after && strings.HasPrefix(itm.Key, prefix) {
+				events = append(events, itm)
+			}
+		}
+		rev, changed := sto.rev, sto.changed
+		sto.mu.Unlock()
+		if len(events) > 0 || over {
+			answer(wrt, http.StatusOK, struct {
+				Events     []item `json:"events"`
+				CurrentRev int64  `json:"currentRev"`
+			}{
+				Events:     events,
+				CurrentRev: rev,
+			})
+			return
+		}
+		select {
+		case <-changed:
+		case <-wait.C:
+			over = true
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
+
+func (sto *Store) txn(wrt http.ResponseWriter, req *http.Request) {
+	var body struct {
+		Expect []struct {
+			Key string `json:"key"`
+			Rev int64  `json:"rev"`
+		} `json:"expect"`
+		Puts []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+			Lease int64  `json:"lease"`
+		} `json:"puts"`
+		Deletes []string `json:"deletes"`
+	}
+	if json.NewDecoder(req.Body).Decode(&body) != nil {
+		wrt.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	for _, exp := range body.Expect {
+		if sto.items[exp.Key].Rev != exp.Rev {
+			answer(wrt, http.StatusPreconditionFailed, map[string]any{
+				"items": []item{sto.items[exp.Key]},
+			})
+			return
+		}
+	}
+	for _, put := range body.Puts {
+		if strings.HasPrefix(put.Key, "op/") || strings.HasPrefix(put.Key, "servers/") {
+			wrt.WriteHeader(http.StatusForbidden)
+			return
+		}
+		if put.Lease != 0 && sto.leases[put.Lease] == nil {
+			wrt.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
+	for _, put := range body.Puts {
+		sto.write(put.Key, put.Value, put.Lease)
+	}
+	for _, key := range body.Deletes {
+		sto.remove(key)
+	}
+	answer(wrt, http.StatusOK, map[string]int64{
+		"rev": sto.rev,
+	})
+}
+
+func (sto *Store) grant(wrt http.ResponseWriter, req *http.Request) {
+	var body struct {
+		TTL float64 `json:"ttlS_time"`
+	}
+	if json.NewDecoder(req.Body).Decode(&body) != nil || body.TTL < 1 {
+		wrt.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	sto.next++
+	ttl := time.Duration(body.TTL * float64(time.Second))
+	sto.leases[sto.next] = &lease{
+		ttl: ttl,
+		end: time.Now().Add(ttl),
+	}
+	answer(wrt, http.StatusOK, map[string]any{
+		"lease":     sto.next,
+		"ttlS_time": body.TTL,
+	})
+}
+
+func (sto *Store) keep(wrt http.ResponseWriter, req *http.Request) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	lse, ok := sto.leases[number(mux.Vars(req)["id"])]
+	if !ok {
+		wrt.WriteHeader(http.StatusNotFound)
+		return
+	}
+	lse.end = time.Now().Add(lse.ttl)
+	answer(wrt, http.StatusOK, map[string]any{
+		"ttlS_time": lse.ttl.Seconds(),
+	})
+}
+
+func (sto *Store) end(wrt http.ResponseWriter, req *http.Request) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	sto.endLease(number(mux.Vars(req)["id"]))
+	wrt.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/internal/stand/pstore/pstore.go
@@ -0,0 +1,276 @@
+// Package pstore is a stand-in of the platform's metadata store for tests. It speaks the published protocol: items with revisions,
+// ranges in pages, watches, transactions under conditions and leases.
+//
+// Faults are injected by Set: an outage, refusals for some callers, answers that are lost after the write, slow answers and a history
+// that is discarded.
+package pstore
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// pageItems is the most items of a page; the real store has about 500.
+const pageItems = 50
+
+// Faults are the faults in force. The zero value is a store without faults.
+type Faults struct {
+	// Outage closes each connection without an answer, those of waiting watches included.
+	Outage bool
+	// Silent lets calls wait without an answer until the fault ends.
+	Silent bool
+	// Busy answers 503 to callers with these IP numbers.
+	Busy []string
+	// LoseWrites carries out writes and closes the connection without an answer.
+	LoseWrites bool
+	// Delay is the time before a call is carried out.
+	Delay time.Duration
+}
+
+type item struct {
+	Key            string `json:"key"`
+	Value          []byte `json:"value,omitempty"`
+	Rev            int64  `json:"rev"`
+	CreateRevision int64  `json:"createRevision,omitempty"`
+	Lease          int64  `json:"lease"`
+	Removed        bool   `json:"removed,omitempty"`
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// Store is the store. It is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	rev     int64
+	floor   int64 // changes up to here are no longer known
+	items   map[string]item
+	history []item
+	leases  map[int64]*lease
+	next    int64
+	faults  Faults
+	changed chan struct{}
+	calls   map[string]int
+	address string
+}
+
+// New starts a store on an address, with port 0 for any, and returns the function that ends it.
+func New(address string) (sto *Store, cleanup func(), err error) {
+	lsn, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, nil, err
+	}
+	sto = &Store{
+		rev:     1,
+		items:   make(map[string]item),
+		leases:  make(map[int64]*lease),
+		next:    100,
+		changed: make(chan struct{}),
+		calls:   make(map[string]int),
+		address: lsn.Addr().String(),
+	}
+	rtr := mux.NewRouter()
+	rtr.HandleFunc("/v1/kv-key", sto.get).Methods(http.MethodGet)
+	rtr.HandleFunc("/v1/kv-range", sto.list).Methods(http.MethodGet)
+	rtr.HandleFunc("/v1/kv-watch", sto.watch).Methods(http.MethodGet)
+	rtr.HandleFunc("/v1/kv-txn", sto.txn).Methods(http.MethodPost)
+	rtr.HandleFunc("/v1/kv-lease", sto.grant).Methods(http.MethodPost)
+	rtr.HandleFunc("/v1/kv-keep/{id}", sto.keep).Methods(http.MethodPost)
+	rtr.HandleFunc("/v1/kv-lease-end/{id}", sto.end).Methods(http.MethodDelete)
+	srv := &http.Server{
+		Handler:           sto.faulty(rtr),
+		ReadHeaderTimeout: time.Minute,
+	}
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = srv.Serve(lsn) })
+	stop := make(chan struct{})
+	serving.Go(func() { sto.expire(stop) })
+	return sto, func() {
+		close(stop)
+		_ = srv.Close()
+		serving.Wait()
+	}, nil
+}
+
+// Address returns host:port of the store.
+func (sto *Store) Address() (address string) { return sto.address }
+
+// Set changes the faults in force. An outage ends waiting watches.
+func (sto *Store) Set(flt Faults) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	sto.faults = flt
+	sto.notify()
+}
+
+// Put writes a value as the operator or a target does, without a lease.
+func (sto *Store) Put(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // values are made by tests
+	}
+	sto.PutRaw(key, data)
+}
+
+// PutRaw writes bytes.
+func (sto *Store) PutRaw(key string, data []byte) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	sto.write(key, data, 0)
+}
+
+// Delete removes a key.
+func (sto *Store) Delete(key string) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	sto.remove(key)
+}
+
+// Keys returns the keys with a prefix in their order.
+func (sto *Store) Keys(prefix string) (keys []string) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	for key := range sto.items {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Compact discards the history, so that watches from older revisions get 410.
+func (sto *Store) Compact() {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	sto.floor = sto.rev
+	sto.history = nil
+	sto.notify()
+}
+
+// Calls returns the number of calls of a path.
+func (sto *Store) Calls(path string) (count int) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	return sto.calls[path]
+}
+
+func (sto *Store) write(key string, data []byte, lse int64) {
+	sto.rev++
+	itm := item{
+		Key:            key,
+		Value:          data,
+		Rev:            sto.rev,
+		CreateRevision: sto.rev,
+		Lease:          lse,
+	}
+	if old, ok := sto.items[key]; ok {
+		itm.CreateRevision = old.CreateRevision
+	}
+	sto.items[key] = itm
+	sto.history = append(sto.history, itm)
+	sto.notify()
+}
+
+func (sto *Store) remove(key string) {
+	if _, ok := sto.items[key]; !ok {
+		return
+	}
+	delete(sto.items, key)
+	sto.rev++
+	sto.history = append(sto.history, item{
+		Key:     key,
+		Rev:     sto.rev,
+		Removed: true,
+	})
+	sto.notify()
+}
+
+func (sto *Store) notify() {
+	close(sto.changed)
+	sto.changed = make(chan struct{})
+}
+
+// expire ends leases whose time is over.
+func (sto *Store) expire(stop <-chan struct{}) {
+	tck := time.NewTicker(20 * time.Millisecond)
+	defer tck.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case now := <-tck.C:
+			sto.mu.Lock()
+			for id, lse := range sto.leases {
+				if now.After(lse.end) {
+					sto.endLease(id)
+				}
+			}
+			sto.mu.Unlock()
+		}
+	}
+}
+
+func (sto *Store) endLease(id int64) {
+	delete(sto.leases, id)
+	for key, itm := range sto.items {
+		if itm.Lease == id {
+			sto.remove(key)
+		}
+	}
+}
+
+// faulty applies the faults in force to a call.
+func (sto *Store) faulty(next http.Handler) (hnd http.Handler) {
+	return http.HandlerFunc(func(wrt http.ResponseWriter, req *http.Request) {
+		sto.mu.Lock()
+		flt := sto.faults
+		sto.calls[req.URL.Path]++
+		sto.mu.Unlock()
+		host, _, _ := net.SplitHostPort(req.RemoteAddr)
+		switch {
+		case flt.Outage:
+			panic(http.ErrAbortHandler)
+		case flt.Silent:
+			<-req.Context().Done()
+			panic(http.ErrAbortHandler)
+		case slices.Contains(flt.Busy, host):
+			wrt.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		time.Sleep(flt.Delay)
+		if flt.LoseWrites && req.Method != http.MethodGet {
+			next.ServeHTTP(discard{}, req)
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(wrt, req)
+	})
+}
+
+// discard is an answer that nobody gets.
+type discard struct{}
+
+func (discard) Header() http.Header                    { return make(http.Header) }
+func (discard) Write(data []byte) (num int, err error) { return len(data), nil }
+func (discard) WriteHeader(int)                        {}
+
+func answer(wrt http.ResponseWriter, status int, body any) {
+	wrt.Header().Set("Content-Type", "application/json")
+	wrt.WriteHeader(status)
+	_ = json.NewEncoder(wrt).Encode(body)
+}
+
+func number(text string) (num int64) {
+	num, _ = strconv.ParseInt(text, 10, 64) // 0 stands for a missing figure
+	return num
+}
--- a/registry.go
+++ b/registry.go
@@ -21,13 +21,20 @@
 	// VM is an entry VM that serves; VMGone is one that no longer does.
 	VM     *VM
 	VMGone VMID
-	// Crasher is the fingerprint of a request that crashes targets; CrasherGone ends that.
-	Crasher     string
-	CrasherGone string
+	// Crash is a crash of an instance; CrashGone is one that is forgotten.
+	Crash     *Crash
+	CrashGone *Crash
 	// Rejected is an entry that can't be understood.
 	Rejected *RejectedEntry
 }
 
+// Crash is a request that was in flight at an instance when that crashed.
+type Crash struct {
+	// Fingerprint identifies the content of the request.
+	Fingerprint string
+	Instance    InstanceID
+}
+
 // RejectedEntry is an entry of the store that can't be understood.
 type RejectedEntry struct {
 	Key string
@@ -67,6 +74,6 @@
 	Revoke(ctx context.Context, id int64) (err error)
 	// Announce writes the entry of a running VM, bound to a lease.
 	Announce(ctx context.Context, vmc VM, lease int64) (err error)
-	// ReportCrasher writes the fingerprint of a request that crashes targets, bound to a lease.
-	ReportCrasher(ctx context.Context, fingerprint string, lease int64) (err error)
+	// ReportCrash writes a crash for all VMs, bound to a lease.
+	ReportCrash(ctx context.Context, crs Crash, lease int64) (err error)
 }
