view: drop targets that did not register again on time; notice the store's return sooner

Change: the look for such targets follows each change; calls during an outage wait 20 ms at the store and start again after 0.5 s; an instance is cold for as long as its entry says, and not for longer because this VM has just learned of it.

--- a/internal/fleet/view/follow.go
+++ b/internal/fleet/view/follow.go
@@ -20,7 +20,10 @@
 	batchWait = 200 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call. Refused calls are priced like others.
 	retryFirst = 100 * time.Millisecond
-	retryMost  = 800 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
+	// outageWait is how long the store holds a watch while it is not known to answer. A call that the store never answers must not hide its
+	// return for long.
+	outageWait = 20 * time.Millisecond
 	// purgeInterval is the time between two looks for instances that did not register again.
 	purgeInterval = 200 * time.Millisecond
 )
@@ -87,6 +90,7 @@
 		got := make(chan fetched, 1)
 		go func() { got <- flw.fetch(ctx) }()
 		flw.settle(ctx, flw.await(got))
+		flw.purge()
 	}
 }
 
@@ -123,7 +127,11 @@
 		ftc.chs, ftc.revision, ftc.err = flw.cfg.Registry.List(ctx)
 		return ftc
 	}
-	ftc.chs, ftc.revision, ftc.err = flw.cfg.Registry.Watch(ctx, flw.View().Revision, watchWait)
+	wait := watchWait
+	if flw.out.Lasts {
+		wait = outageWait
+	}
+	ftc.chs, ftc.revision, ftc.err = flw.cfg.Registry.Watch(ctx, flw.View().Revision, wait)
 	return ftc
 }
 
--- /dev/null
+++ b/internal/fleet/view/follow_test.go
@@ -0,0 +1,91 @@
+package view_test
+
+import (
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cardamompass"
+	"cardamompass/internal/edge/send"
+	"cardamompass/internal/fleet/view"
+	"cardamompass/internal/stand/pstore"
+	"cardamompass/platform"
+)
+
+// changeBound is the time within which a target that leaves must get no more requests.
+const changeBound = 2 * time.Second
+
+func follow(t *testing.T) (sto *pstore.Store, flw *view.Follower) {
+	t.Helper()
+	sto, stopStore, err := pstore.New("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stopStore)
+	reg, closeReg := platform.NewRegistry(platform.RegistryConfig{
+		Address: sto.Address(),
+		Regions: map[cardamompass.FailureDomain]cardamompass.Region{"z-1": "r-1"},
+		Dial:    send.Dialer(time.Second),
+	})
+	t.Cleanup(closeReg)
+	flw, stop := view.New(view.Config{
+		Registry: reg,
+		Clock:    cardamompass.SystemClock{},
+		Log:      zap.NewNop(),
+	})
+	t.Cleanup(stop)
+	return sto, flw
+}
+
+// within waits until a condition holds and fails the test when it does not hold in time.
+func within(t *testing.T, limit time.Duration, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !cond(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s not within %v", what, limit)
+		}
+	}
+}
+
+// Guards against a change after the store's return that is learned too late, because a call that was made before still waits for its
+// answer: 'slow-vms-and-partial-store' on mbmu-rain broke DRAIN with 2389 ms.
+func TestChangeAfterOutage(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults pstore.Faults
+	}{
+		{"silent", pstore.Faults{Silent: true}},
+		{"closing connections", pstore.Faults{Outage: true}},
+		{"refusing", pstore.Faults{Busy: []string{"127.0.0.1"}}},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			t.Parallel()
+			sto, flw := follow(t)
+			sto.Put("op/config", map[string]any{"version": "00000001"})
+			within(t, changeBound, "first table", func() bool { return flw.View().Table != nil })
+			sto.Set(tst.faults)
+			time.Sleep(4 * time.Second) // several calls end without an answer
+			sto.Set(pstore.Faults{})
+			sto.Put("op/evacuate/z-1", 1)
+			within(t, changeBound, "change", func() bool { return flw.View().Evacuated("z-1") })
+		})
+	}
+}
+
+// Guards against changes that are lost with the store's history.
+func TestChangeInDiscardedHistory(t *testing.T) {
+	sto, flw := follow(t)
+	sto.Put("op/config", map[string]any{"version": "00000001"})
+	within(t, changeBound, "first table", func() bool { return flw.View().Table != nil })
+	sto.Set(pstore.Faults{Outage: true})
+	sto.Put("op/evacuate/z-1", 1)
+	sto.Delete("op/config")
+	sto.Compact()
+	sto.Set(pstore.Faults{})
+	within(t, changeBound, "change", func() bool { return flw.View().Evacuated("z-1") })
+	if flw.View().Table == nil {
+		t.Fatal("the routing table is forgotten")
+	}
+}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -22,8 +22,9 @@
 	Lasts bool
 }
 
-// ReturnTime is the time after the store's return within which targets register again whose entries lapsed while it was away.
-const ReturnTime = 2 * time.Second
+// ReturnTime is the time after the store's return within which targets register again whose entries lapsed while it was away. They do
+// so within two seconds; the return is noticed a little later than it happens.
+const ReturnTime = 1800 * time.Millisecond
 
 // View is a snapshot of the fleet.
 type View struct {
--- a/internal/steer/place/place.go
+++ b/internal/steer/place/place.go
@@ -44,7 +44,6 @@
 	parts     map[cardamompass.ServiceName]*parts
 	trails    map[uint64]*trail
 	vms       census
-	synced    bool
 }
 
 // New returns a Board that knows no instance.
@@ -70,7 +69,7 @@
 		if !known || !sta.ins.SameStart(ins) {
 			sta = newState(ins)
 			brd.states[ins.ID] = sta
-			sta.coldUntil = now.Add(brd.coldTime(ins))
+			sta.coldUntil = now.Add(ins.ColdFor)
 		}
 		if old.Evacuated(ins.FailureDomain) && !vew.Evacuated(ins.FailureDomain) {
 			// Targets of an evacuated failure domain may have become cold meanwhile.
@@ -93,16 +92,6 @@
 	for _, prt := range brd.parts {
 		prt.want = nil
 	}
-	brd.synced = brd.synced || vew.Table != nil
-}
-
-// coldTime is how long an instance that was just learned of stays cold. One that registers during traffic has just started; of
-// those that were there before this process, only their own word is known.
-func (brd *Board) coldTime(ins cardamompass.Instance) (dur time.Duration) {
-	if !brd.synced {
-		return ins.ColdFor
-	}
-	return max(ins.ColdFor, brd.policy(ins.Service).ColdFor)
 }
 
 func (brd *Board) policy(svc cardamompass.ServiceName) (pol cardamompass.ServicePolicy) {
