front: time second copies by the typical time of the route

Cause: a fixed part of the objective asks a second target before a usual answer is due, or too late for its answer to be in time. Change: a second copy is asked when it can just be in time, by the median of the route, but never before 1.25 medians.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -65,7 +65,8 @@
 	mu      sync.Mutex
 	budgets map[cardamompass.ServiceName]*budget.Budget
 	splits  map[string]*split
-	cleared map[string]bool // fingerprints of known crashes that were answered since
+	typical map[string]time.Duration // median time by host and prefix
+	cleared map[string]bool          // fingerprints of known crashes that were answered since
 	checks  sync.WaitGroup
 }
 
@@ -76,6 +77,7 @@
 		met:     newMetrics(cfg.Scope),
 		budgets: make(map[cardamompass.ServiceName]*budget.Budget),
 		splits:  make(map[string]*split),
+		typical: make(map[string]time.Duration),
 		cleared: make(map[string]bool),
 	}
 	return frt, frt.checks.Wait
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -143,6 +143,7 @@
 		run.sent++
 		run.mayHaveRun = true
 		run.exc.frt.clear(run.exc.vew, run.fingerprint)
+		run.exc.frt.typicalTime(run.exc.route, run.exc.frt.cfg.Clock.Now().Sub(atm.start))
 		if atm.rep.Status < http.StatusInternalServerError && !promise(atm.rep.Status) {
 			return true
 		}
--- a/internal/edge/front/share.go
+++ b/internal/edge/front/share.go
@@ -11,15 +11,23 @@
 const (
 	// budgetSafety is the part of the common budget that is used; the rest is left for VMs that disagree about their number.
 	budgetSafety = 0.85
-	// hedgePart is the part of a route's objective after which a second target is asked.
-	hedgePart = 0.55
+	// firstTypical is the typical time of a route before anything was answered, as a part of its objective.
+	firstTypical = 0.5
+	// typicalStep is the step by which the typical time follows the answers.
+	typicalStep = 0.03
+	// secondCopy is the time that a second copy is expected to take, relative to the typical time. Asked that long before the objective, it
+	// can still be in time.
+	secondCopy = 1.2
+	// answerMargin is the time that an answer takes on its way to the caller.
+	answerMargin = 15 * time.Millisecond
+	// soonestCopy is the time after which a second target is asked at the earliest, relative to the typical time. Sooner, requests that take
+	// their usual time would be sent twice.
+	soonestCopy = 1.25
 	// urgentLoad is the load relative to the slots up to which the most urgent requests are sent to a target; a queue of the length of
 	// the slots is about as long as an objective leaves. Each less urgent priority has loadStep less, down to leastLoad.
 	urgentLoad = 2.0
 	loadStep   = 0.5
 	leastLoad  = 1.25
-	// leastHedgeDelay keeps routes with very short objectives from asking two targets as a rule.
-	leastHedgeDelay = 30 * time.Millisecond
 )
 
 // retries returns the budget of a service for requests beyond the first of each, this VM's part of the common one.
@@ -45,7 +53,30 @@
 
 // hedgeDelay is the time after which a second target is asked.
 func (run *job) hedgeDelay() (dur time.Duration) {
-	return max(leastHedgeDelay, time.Duration(hedgePart*float64(run.exc.route.Objective)))
+	typ := run.exc.frt.typicalTime(run.exc.route, 0)
+	latest := run.exc.route.Objective - time.Duration(secondCopy*float64(typ)) - answerMargin
+	return max(latest, time.Duration(soonestCopy*float64(typ)))
+}
+
+// typicalTime returns the median time of the first targets of a route, after one more answer that took ela, or without one if ela is 0.
+func (frt *Front) typicalTime(rte *cardamompass.Route, ela time.Duration) (typ time.Duration) {
+	frt.mu.Lock()
+	defer frt.mu.Unlock()
+	key := rte.Host + rte.Prefix
+	typ, ok := frt.typical[key]
+	if !ok {
+		typ = time.Duration(firstTypical * float64(rte.Objective))
+	}
+	switch {
+	case ela > typ:
+		typ += time.Duration(typicalStep * float64(typ))
+	case ela > 0:
+		typ -= time.Duration(typicalStep * float64(typ))
+	}
+	if ela > 0 {
+		frt.typical[key] = typ
+	}
+	return typ
 }
 
 // mayHedge reports whether a second target may be asked beside the first.
