cast: tell other VMs the loads of targets by datagrams

Cause: half of the choices used a load older than 0.6 s, while a target's machine changes its speed every 0.6 s; a VM whose entry was taken from the store was not named in look-ups although it served. Change: each VM sends what targets stated to at most 12 others every 100 ms; a VM that was heard within 2 s counts as running for look-ups. Ruled out: health checks for fresher loads (each is priced), calls by net/rpc (a lost figure is not worth repeating).

--- a/internal/edge/direct/direct.go
+++ b/internal/edge/direct/direct.go
@@ -13,7 +13,6 @@
 	"go.uber.org/zap"
 
 	"cardamompass"
-	"cardamompass/internal/fleet/view"
 )
 
 const (
@@ -27,8 +26,8 @@
 type Config struct {
 	Self     cardamompass.VM
 	Protocol cardamompass.Protocol
-	// View returns the current view of the fleet.
-	View func() *view.View
+	// Others returns the other running VMs.
+	Others func() []cardamompass.VM
 	// Stopping reports whether this VM stops, so that it must not name itself.
 	Stopping func() bool
 	MaxTTL   time.Duration
@@ -65,13 +64,9 @@
 	_, _ = wrt.Write(body) // a caller that has left asks again
 }
 
-// running returns the running VMs. This VM knows better than the store whether it runs.
+// running returns the running VMs, this one included unless it stops.
 func (hnd *Handler) running() (vms []cardamompass.VM) {
-	for _, vmc := range hnd.cfg.View().VMs() {
-		if vmc.ID != hnd.cfg.Self.ID {
-			vms = append(vms, vmc)
-		}
-	}
+	vms = hnd.cfg.Others()
 	if !hnd.cfg.Stopping() {
 		vms = append(vms, hnd.cfg.Self)
 	}
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -48,6 +48,8 @@
 	// View returns the current view of the fleet, Age the time since the store's last answer.
 	View func() *view.View
 	Age  func() time.Duration
+	// Stated is told of the load that an instance stated. It must not block.
+	Stated func(id cardamompass.InstanceID, lod cardamompass.Load)
 	// Crashed is told of a request that was in flight at an instance when that crashed. It must not block.
 	Crashed func(crs cardamompass.Crash)
 	// Dial opens connections to targets, to see whether they listen.
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -92,6 +92,7 @@
 		Sender:   snd,
 		View:     sit.view,
 		Age:      func() time.Duration { return 0 },
+		Stated:   func(cardamompass.InstanceID, cardamompass.Load) {},
 		Crashed:  sit.crashed,
 		Dial:     send.Dialer(time.Second),
 	})
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -218,6 +218,9 @@
 		out.Result = place.ResultFailed
 	}
 	frt.cfg.Board.Done(out, frt.cfg.Clock.Now())
+	if out.Load != nil {
+		frt.cfg.Stated(out.Instance, *out.Load)
+	}
 	frt.met.attempt(out.Result)
 }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -18,6 +18,7 @@
 	"cardamompass/internal/edge/direct"
 	"cardamompass/internal/edge/front"
 	"cardamompass/internal/edge/send"
+	"cardamompass/internal/fleet/cast"
 	"cardamompass/internal/fleet/view"
 	"cardamompass/internal/obs/metric"
 	"cardamompass/internal/steer/place"
@@ -54,6 +55,7 @@
 	self     cardamompass.VM
 	follower *view.Follower
 	presence *presence
+	caster   *cast.Caster
 	board    *place.Board
 	sender   *send.Sender
 	front    *front.Front
@@ -75,6 +77,7 @@
 			Region:        set.Region,
 			FailureDomain: set.FailureDomain,
 			CallerAddress: set.CallerAddress,
+			PeerAddress:   set.PeerAddress,
 		},
 		board: place.New(place.Config{
 			Self:           set.ID,
@@ -104,6 +107,10 @@
 		})
 	})
 	nod.presence = own(nod, func() (*presence, func()) { return newPresence(nod) })
+	if err = nod.exchange(); err != nil {
+		nod.close()
+		return nil, nil, err
+	}
 	reports := own(nod, func() (*reporter, func()) { return newReporter(cfg) })
 	nod.front = own(nod, func() (*front.Front, func()) {
 		return front.New(front.Config{
@@ -116,6 +123,7 @@
 			Sender:   nod.sender,
 			View:     nod.follower.View,
 			Age:      nod.follower.Age,
+			Stated:   nod.caster.Note,
 			Crashed:  reports.crashed,
 			Dial:     send.Dialer(targetSilence),
 		})
@@ -128,6 +136,43 @@
 	return nod, nod.close, nil
 }
 
+// exchange starts the exchange of loads with the other VMs.
+func (nod *Node) exchange() (err error) {
+	cst, stop, err := cast.New(cast.Config{
+		Self:   nod.self,
+		Listed: func() []cardamompass.VM { return nod.follower.View().VMs() },
+		Heard:  nod.heard,
+		Clock:  nod.cfg.Clock,
+		Log:    nod.cfg.Log,
+	})
+	if err != nil {
+		return err
+	}
+	nod.caster = cst
+	nod.cleanups = append(nod.cleanups, stop)
+	return nil
+}
+
+func (nod *Node) heard(reports []cast.Report) {
+	now := nod.cfg.Clock.Now()
+	for _, rpt := range reports {
+		nod.board.Heard(rpt.Instance, rpt.Load, rpt.Age, now)
+	}
+}
+
+// running returns the other VMs that serve: those that the store names and those that were heard a short time ago, since the entry of a VM
+// may lapse although it serves.
+func (nod *Node) running() (vms []cardamompass.VM) {
+	seen := make(map[cardamompass.VMID]bool)
+	for _, vmc := range append(nod.follower.View().VMs(), nod.caster.Running()...) {
+		if !seen[vmc.ID] && vmc.ID != nod.self.ID {
+			seen[vmc.ID] = true
+			vms = append(vms, vmc)
+		}
+	}
+	return vms
+}
+
 // own registers the clean-up function of a part.
 func own[T any](nod *Node, make func() (T, func())) (part T) {
 	part, cleanup := make()
@@ -177,7 +222,7 @@
 	lookups := direct.New(direct.Config{
 		Self:     nod.self,
 		Protocol: nod.cfg.Protocol,
-		View:     nod.follower.View,
+		Others:   nod.running,
 		Stopping: nod.stopping.Load,
 		MaxTTL:   set.MaxLookupTTL,
 		Log:      nod.cfg.Log,
--- /dev/null
+++ b/internal/fleet/cast/cast.go
@@ -0,0 +1,313 @@
+// Package cast tells the other entry VMs what targets stated of their load, and that this VM runs.
+//
+// Each VM sends a datagram at a short interval to the other VMs, or to a bounded number of them in a large fleet. A lost datagram is not
+// repeated: the next one has fresher figures. Datagrams are neither encrypted nor authenticated; the package relies on a network in
+// which only the entry VMs reach the port. What they say makes a choice of a target better or worse, and never decides whether a request
+// may run.
+package cast
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"cardamompass"
+)
+
+const (
+	// Interval is the time between two datagrams. Targets' machines change their speed about every 600 ms.
+	Interval = 100 * time.Millisecond
+	// quietInterval is the time after which a datagram is sent although there is nothing to report.
+	quietInterval = 500 * time.Millisecond
+	// heardTime is how long a VM counts as running after its last datagram.
+	heardTime = 2 * time.Second
+	// maxPeers bounds the VMs that get a datagram, so that the traffic of a VM does not grow with the fleet.
+	maxPeers = 12
+	// maxReports bounds the reports of a datagram, which must fit into one packet.
+	maxReports = 30
+	// maxDatagram is more than a datagram with maxReports takes.
+	maxDatagram = 4 << 10
+)
+
+// Report is what a target stated of its load.
+type Report struct {
+	Instance cardamompass.InstanceID
+	Load     cardamompass.Load
+	// Age is the time since the target stated it.
+	Age time.Duration
+}
+
+// datagram is the wire format.
+type datagram struct {
+	VM          string      `msgpack:"v"`
+	Incarnation uint64      `msgpack:"i"`
+	Region      string      `msgpack:"r"`
+	Domain      string      `msgpack:"d"`
+	Caller      string      `msgpack:"c"`
+	Peer        string      `msgpack:"p"`
+	Stopping    bool        `msgpack:"s"`
+	Reports     []wireValue `msgpack:"l"`
+}
+
+type wireValue struct {
+	Instance string `msgpack:"t"`
+	Running  int    `msgpack:"r"`
+	Waiting  int    `msgpack:"w"`
+	Slots    int    `msgpack:"s"`
+	Slowness int    `msgpack:"x"` // in percent
+	AgeMS    int    `msgpack:"a"`
+}
+
+// Config configures a Caster.
+type Config struct {
+	Self cardamompass.VM
+	// Listed returns the running VMs that the store knows.
+	Listed func() []cardamompass.VM
+	// Heard is told of the reports of another VM. It must not block.
+	Heard func(reports []Report)
+	Clock cardamompass.Clock
+	Log   *zap.Logger
+}
+
+// Caster exchanges datagrams with the other VMs. It is safe for concurrent use.
+type Caster struct {
+	cfg Config
+	con *net.UDPConn
+
+	mu       sync.Mutex
+	fresh    map[cardamompass.InstanceID]stamped
+	heard    map[cardamompass.VMID]sighting
+	stopping bool
+	sentAt   time.Time
+}
+
+type stamped struct {
+	load cardamompass.Load
+	at   time.Time
+}
+
+type sighting struct {
+	vmc cardamompass.VM
+	at  time.Time
+}
+
+// New listens at the VM's peer address and returns the function that ends the exchange.
+func New(cfg Config) (cst *Caster, cleanup func(), err error) {
+	defer func() { err = errors.Wrap(err, "exchange of loads") }()
+	adr, err := net.ResolveUDPAddr("udp4", cfg.Self.PeerAddress)
+	if err != nil {
+		return nil, nil, err
+	}
+	con, err := net.ListenUDP("udp4", adr)
+	if err != nil {
+		return nil, nil, err
+	}
+	cst = &Caster{
+		cfg:   cfg,
+		con:   con,
+		fresh: make(map[cardamompass.InstanceID]stamped),
+		heard: make(map[cardamompass.VMID]sighting),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(cst.receive)
+	running.Go(func() { cst.send(ctx) })
+	return cst, func() {
+		cancel()
+		_ = con.Close() // ends receive
+		running.Wait()
+	}, nil
+}
+
+// Note takes a load that a target stated to this VM.
+func (cst *Caster) Note(id cardamompass.InstanceID, lod cardamompass.Load) {
+	cst.mu.Lock()
+	defer cst.mu.Unlock()
+	cst.fresh[id] = stamped{
+		load: lod,
+		at:   cst.cfg.Clock.Now(),
+	}
+}
+
+// Stop tells the other VMs that this one stops.
+func (cst *Caster) Stop() {
+	cst.mu.Lock()
+	cst.stopping = true
+	cst.mu.Unlock()
+	cst.cast()
+}
+
+// Running returns the other VMs from which a datagram came a short time ago and that do not stop.
+func (cst *Caster) Running() (vms []cardamompass.VM) {
+	now := cst.cfg.Clock.Now()
+	cst.mu.Lock()
+	defer cst.mu.Unlock()
+	for _, sgt := range cst.heard {
+		if now.Sub(sgt.at) < heardTime {
+			vms = append(vms, sgt.vmc)
+		}
+	}
+	return vms
+}
+
+func (cst *Caster) send(ctx context.Context) {
+	tck := time.NewTicker(Interval)
+	defer tck.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tck.C:
+			if cst.due() {
+				cst.cast()
+			}
+		}
+	}
+}
+
+// due reports whether there is something to tell.
+func (cst *Caster) due() (ok bool) {
+	cst.mu.Lock()
+	defer cst.mu.Unlock()
+	return len(cst.fresh) > 0 || cst.cfg.Clock.Now().Sub(cst.sentAt) >= quietInterval
+}
+
+// cast sends one datagram to the other VMs.
+func (cst *Caster) cast() {
+	data, err := msgpack.Marshal(cst.take())
+	if err != nil {
+		cst.cfg.Log.Error("datagram not encoded", zap.Error(err))
+		return
+	}
+	for _, vmc := range cst.peers() {
+		adr, err := net.ResolveUDPAddr("udp4", vmc.PeerAddress)
+		if err != nil {
+			cst.cfg.Log.Warn("peer address not usable", zap.String("vm", string(vmc.ID)), zap.Error(err))
+			continue
+		}
+		_, _ = cst.con.WriteToUDP(data, adr) // the next datagram replaces one that is lost
+	}
+}
+
+// take returns the datagram with the reports since the last one.
+func (cst *Caster) take() (dgr datagram) {
+	now := cst.cfg.Clock.Now()
+	self := cst.cfg.Self
+	cst.mu.Lock()
+	defer cst.mu.Unlock()
+	cst.sentAt = now
+	dgr = datagram{
+		VM:          string(self.ID),
+		Incarnation: uint64(self.Incarnation),
+		Region:      string(self.Region),
+		Domain:      string(self.FailureDomain),
+		Caller:      self.CallerAddress,
+		Peer:        self.PeerAddress,
+		Stopping:    cst.stopping,
+	}
+	for id, stm := range cst.fresh {
+		if len(dgr.Reports) == maxReports {
+			break
+		}
+		delete(cst.fresh, id)
+		dgr.Reports = append(dgr.Reports, wireValue{
+			Instance: string(id),
+			Running:  stm.load.Running,
+			Waiting:  stm.load.Waiting,
+			Slots:    stm.load.Slots,
+			Slowness: int(stm.load.Slowness * 100),
+			AgeMS:    int(now.Sub(stm.at).Milliseconds()),
+		})
+	}
+	return dgr
+}
+
+// peers returns the VMs that get a datagram: those of the own region first, since they use the same targets, then others by chance.
+func (cst *Caster) peers() (vms []cardamompass.VM) {
+	known := make(map[cardamompass.VMID]cardamompass.VM)
+	for _, vmc := range append(cst.cfg.Listed(), cst.Running()...) {
+		if vmc.ID != cst.cfg.Self.ID && vmc.PeerAddress != "" {
+			known[vmc.ID] = vmc
+		}
+	}
+	var far []cardamompass.VM
+	for _, vmc := range known {
+		if vmc.Region == cst.cfg.Self.Region {
+			vms = append(vms, vmc)
+		} else {
+			far = append(far, vmc)
+		}
+	}
+	rand.Shuffle(len(vms), func(one, two int) { vms[one], vms[two] = vms[two], vms[one] })
+	rand.Shuffle(len(far), func(one, two int) { far[one], far[two] = far[two], far[one] })
+	vms = append(vms, far...)
+	return vms[:min(len(vms), maxPeers)]
+}
+
+// receive takes datagrams until the connection is closed.
+func (cst *Caster) receive() {
+	buf := make([]byte, maxDatagram)
+	for {
+		num, _, err := cst.con.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		var dgr datagram
+		if err == nil {
+			err = msgpack.Unmarshal(buf[:num], &dgr)
+		}
+		if err != nil {
+			cst.cfg.Log.Warn("datagram not understood", zap.Error(err))
+			continue
+		}
+		cst.heardFrom(dgr)
+	}
+}
+
+func (cst *Caster) heardFrom(dgr datagram) {
+	vmc := cardamompass.VM{
+		ID:            cardamompass.VMID(dgr.VM),
+		Incarnation:   cardamompass.Incarnation(dgr.Incarnation),
+		Region:        cardamompass.Region(dgr.Region),
+		FailureDomain: cardamompass.FailureDomain(dgr.Domain),
+		CallerAddress: dgr.Caller,
+		PeerAddress:   dgr.Peer,
+	}
+	cst.mu.Lock()
+	_, known := cst.heard[vmc.ID]
+	if dgr.Stopping {
+		delete(cst.heard, vmc.ID)
+	} else {
+		cst.heard[vmc.ID] = sighting{
+			vmc: vmc,
+			at:  cst.cfg.Clock.Now(),
+		}
+	}
+	cst.mu.Unlock()
+	if known == dgr.Stopping {
+		cst.cfg.Log.Info("vm heard", zap.String("vm", dgr.VM), zap.Bool("stopping", dgr.Stopping))
+	}
+	reports := make([]Report, 0, len(dgr.Reports))
+	for _, val := range dgr.Reports {
+		if val.Slots <= 0 || val.Slowness <= 0 {
+			continue
+		}
+		reports = append(reports, Report{
+			Instance: cardamompass.InstanceID(val.Instance),
+			Load: cardamompass.Load{
+				Running:  val.Running,
+				Waiting:  val.Waiting,
+				Slots:    val.Slots,
+				Slowness: float64(val.Slowness) / 100,
+			},
+			Age: time.Duration(val.AgeMS) * time.Millisecond,
+		})
+	}
+	cst.cfg.Heard(reports)
+}
--- a/internal/steer/place/place.go
+++ b/internal/steer/place/place.go
@@ -120,6 +120,15 @@
 	}
 }
 
+// Heard takes a load that an instance stated to another VM some time ago.
+func (brd *Board) Heard(id cardamompass.InstanceID, lod cardamompass.Load, age time.Duration, now time.Time) {
+	brd.mu.Lock()
+	defer brd.mu.Unlock()
+	if sta, ok := brd.states[id]; ok && now.Add(-age).After(sta.loadAt) {
+		sta.stated(lod, now.Add(-age))
+	}
+}
+
 // Result is what became of a request at an instance.
 type Result uint8
 
--- a/internal/steer/place/state.go
+++ b/internal/steer/place/state.go
@@ -49,9 +49,7 @@
 
 func (sta *state) note(out Outcome, now time.Time) {
 	if out.Load != nil {
-		sta.load = *out.Load
-		sta.loadAt = now
-		sta.loadOthers = max(0, out.Load.Running+out.Load.Waiting-sta.inFlight)
+		sta.stated(*out.Load, now)
 	}
 	switch out.Result {
 	case ResultAnswered:
@@ -70,6 +68,13 @@
 	}
 }
 
+// stated takes a load that the instance stated at a time.
+func (sta *state) stated(lod cardamompass.Load, at time.Time) {
+	sta.load = lod
+	sta.loadAt = at
+	sta.loadOthers = max(0, lod.Running+lod.Waiting-sta.inFlight)
+}
+
 // failureRate is the part of recent requests that failed, from 0 to 1.
 func (sta *state) failureRate(now time.Time) (rate float64) {
 	return sta.failures * fade(now.Sub(sta.failuresAt), failureMemory)
--- a/vmsettings.go
+++ b/vmsettings.go
@@ -15,6 +15,8 @@
 	CallerAddress string
 	ReadyAddress  string
 	LookupAddress string
+	// PeerAddress is the address for datagrams between VMs.
+	PeerAddress string
 	// StoreAddress is the address of the platform's store.
 	StoreAddress string
 	// MinLeaseTTL is the shortest time to live of a lease.
