--- /dev/null
+++ b/internal/edge/direct/direct_test.go
@@ -0,0 +1,69 @@
+package direct_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"cardamompass"
+	"cardamompass/internal/edge/direct"
+	"cardamompass/platform"
+)
+
+func vm(id, region, domain string) (vmc cardamompass.VM) {
+	return cardamompass.VM{
+		ID:            cardamompass.VMID(id),
+		Region:        cardamompass.Region(region),
+		FailureDomain: cardamompass.FailureDomain(domain),
+		CallerAddress: id + ":1",
+	}
+}
+
+// Guards against callers that are sent far away, to nobody, or to a VM that stops.
+func TestAnswers(t *testing.T) {
+	own := vm("own", "gulf", "g-1")
+	tests := []struct {
+		name     string
+		others   []cardamompass.VM
+		stopping bool
+		region   string
+		want     []string // nil for a refusal
+	}{
+		{"alone", nil, false, "gulf", []string{"own:1"}},
+		{"near ones first", []cardamompass.VM{vm("b", "gulf", "g-2"), vm("c", "delta", "d-1")}, false, "gulf", []string{"own:1", "b:1"}},
+		{"another region", []cardamompass.VM{vm("b", "gulf", "g-2"), vm("c", "delta", "d-1")}, false, "delta", []string{"c:1"}},
+		{"a region without a VM", []cardamompass.VM{vm("b", "gulf", "g-2")}, false, "delta", []string{"own:1", "b:1"}},
+		{"stopping", []cardamompass.VM{vm("b", "gulf", "g-2")}, true, "gulf", []string{"b:1"}},
+		{"stopping and alone", nil, true, "gulf", nil},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			hnd := direct.New(direct.Config{
+				Self:     own,
+				Protocol: platform.Protocol{},
+				Others:   func() []cardamompass.VM { return tst.others },
+				Stopping: func() bool { return tst.stopping },
+				Log:      zap.NewNop(),
+			})
+			rec := httptest.NewRecorder()
+			hnd.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/v1/resolve?name=h&zone=g-1&region="+tst.region, nil))
+			if tst.want == nil {
+				if rec.Code != http.StatusServiceUnavailable {
+					t.Fatalf("status %d", rec.Code)
+				}
+				return
+			}
+			var ans struct {
+				Addresses []string `json:"addresses"`
+				TTLS      float64  `json:"ttlS"`
+			}
+			if err := json.Unmarshal(rec.Body.Bytes(), &ans); err != nil || !reflect.DeepEqual(ans.Addresses, tst.want) || ans.TTLS <= 0 {
+				t.Fatalf("answer %s, want %v", rec.Body, tst.want)
+			}
+		})
+	}
+}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -25,8 +25,8 @@
 )
 
 const (
-	// metricsAddress is where metrics are served. The deploy file names the port.
-	metricsAddress = ":9464"
+	// metricsPort is where metrics are served. The deploy file names it.
+	metricsPort = "9464"
 	// trimInterval is the time between two looks for idle connections that are too old.
 	trimInterval = time.Second
 	// headerTimeout bounds the reading of a caller's header until the routing table says more.
@@ -238,7 +238,7 @@
 		{set.CallerAddress, nod.front},
 		{set.LookupAddress, lookupRoutes},
 		{set.ReadyAddress, readyRoutes},
-		{metricsAddress, metricRoutes},
+		{net.JoinHostPort(set.IP, metricsPort), metricRoutes},
 	} {
 		if err = nod.serve(lst.address, lst.handler); err != nil {
 			return err
--- /dev/null
+++ b/internal/fleet/cast/cast_test.go
@@ -0,0 +1,128 @@
+package cast_test
+
+import (
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cardamompass"
+	"cardamompass/internal/fleet/cast"
+)
+
+// node is one VM of a test.
+type node struct {
+	*cast.Caster
+	self cardamompass.VM
+
+	mu      sync.Mutex
+	reports []cast.Report
+}
+
+func (nod *node) heard(reports []cast.Report) {
+	nod.mu.Lock()
+	defer nod.mu.Unlock()
+	nod.reports = append(nod.reports, reports...)
+}
+
+func (nod *node) got() (reports []cast.Report) {
+	nod.mu.Lock()
+	defer nod.mu.Unlock()
+	return slices.Clone(nod.reports)
+}
+
+func newNodes(t *testing.T, names ...string) (nodes []*node) {
+	t.Helper()
+	var all []cardamompass.VM
+	for _, name := range names {
+		lsn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		vmc := cardamompass.VM{
+			ID:          cardamompass.VMID(name),
+			Region:      "r",
+			PeerAddress: lsn.LocalAddr().String(),
+		}
+		lsn.Close()
+		all = append(all, vmc)
+		nodes = append(nodes, &node{self: vmc})
+	}
+	for _, nod := range nodes {
+		cst, stop, err := cast.New(cast.Config{
+			Self:   nod.self,
+			Listed: func() []cardamompass.VM { return all },
+			Heard:  nod.heard,
+			Clock:  cardamompass.SystemClock{},
+			Log:    zap.NewNop(),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(stop)
+		nod.Caster = cst
+	}
+	return nodes
+}
+
+func await(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !cond(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not reached: " + what)
+		}
+	}
+}
+
+// Guards against loads that do not reach the other VMs, or reach them changed.
+func TestReportsReachTheOthers(t *testing.T) {
+	nodes := newNodes(t, "vm-1", "vm-2", "vm-3")
+	lod := cardamompass.Load{
+		Running:  3,
+		Waiting:  2,
+		Slots:    6,
+		Slowness: 2.5,
+	}
+	nodes[0].Note("i-1", lod)
+	for _, nod := range nodes[1:] {
+		await(t, "report at "+string(nod.self.ID), func() bool { return len(nod.got()) > 0 })
+		if rpt := nod.got()[0]; rpt.Instance != "i-1" || rpt.Load != lod || rpt.Age < 0 || rpt.Age > 5*time.Second {
+			t.Fatalf("report %+v", rpt)
+		}
+	}
+	if len(nodes[0].got()) > 0 {
+		t.Fatal("a VM hears itself")
+	}
+}
+
+// Guards against look-ups that name a VM that stops, or leave out one that serves.
+func TestRunningVMs(t *testing.T) {
+	nodes := newNodes(t, "vm-1", "vm-2")
+	await(t, "both heard", func() bool { return len(nodes[0].Running()) == 1 && len(nodes[1].Running()) == 1 })
+	nodes[1].Stop()
+	await(t, "the stop heard", func() bool { return len(nodes[0].Running()) == 0 })
+	time.Sleep(time.Second) // later datagrams must not bring it back
+	if vms := nodes[0].Running(); len(vms) > 0 {
+		t.Fatalf("running %v", vms)
+	}
+}
+
+// Guards against a datagram of anybody that ends the exchange.
+func TestForeignDatagrams(t *testing.T) {
+	nodes := newNodes(t, "vm-1", "vm-2")
+	con, err := net.Dial("udp4", nodes[1].self.PeerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer con.Close()
+	for _, data := range [][]byte{{}, {0xff}, []byte("hello"), make([]byte, 5000), {0x81, 0xa1, 0x6c, 0x91, 0x80}} {
+		if _, err = con.Write(data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	nodes[0].Note("i-1", cardamompass.Load{Slots: 6, Slowness: 1})
+	await(t, "report after foreign datagrams", func() bool { return len(nodes[1].got()) > 0 })
+}
--- /dev/null
+++ b/internal/stand/pfleet/pfleet.go
@@ -0,0 +1,267 @@
+// Package pfleet runs a small site as the users' platform does, for tests: real entry VM processes on loopback addresses of their own,
+// with a stand-in of the store and stand-ins of the targets in the test's process. Fault proxies stand before the store, one for each
+// VM, and before each target.
+package pfleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"cardamompass/internal/stand/fault"
+	"cardamompass/internal/stand/procs"
+	"cardamompass/internal/stand/pstore"
+	"cardamompass/internal/stand/ptarg"
+)
+
+// Service and Host name the only service and the host of its routes.
+const (
+	Service = "svc-1"
+	Host    = "site.example"
+)
+
+// Bounds of the site, written into each settings file. They are those of a small site of the first users.
+const (
+	DrainBound  = 2 * time.Second
+	ConfigBound = 2 * time.Second
+	GraceTime   = 6 * time.Second
+	RepeatRatio = 0.2
+	RepeatSlack = 56
+)
+
+// zones are the failure domains; each name starts with its region.
+var zones = []string{"east-1", "east-2", "west-1", "west-2"}
+
+// Config configures a Fleet.
+type Config struct {
+	// Dir holds settings and logs.
+	Dir string
+	// VMs and Targets are their numbers, spread over the failure domains.
+	VMs     int
+	Targets int
+	// Slots and Work describe the targets.
+	Slots int
+	Work  time.Duration
+}
+
+// VM is an entry VM process.
+type VM struct {
+	*procs.Process
+	// IP is its address.
+	IP string
+	// StoreProxy carries its calls to the store.
+	StoreProxy *fault.Proxy
+	settings   string
+}
+
+// CallerAddress is where callers reach the VM, LookupAddress where they look up, ReadyAddress where its readiness is checked.
+func (vmc *VM) CallerAddress() (address string) { return net.JoinHostPort(vmc.IP, "8161") }
+
+// LookupAddress is where callers look up.
+func (vmc *VM) LookupAddress() (address string) { return net.JoinHostPort(vmc.IP, "8164") }
+
+// ReadyAddress is where the VM's readiness is checked.
+func (vmc *VM) ReadyAddress() (address string) { return net.JoinHostPort(vmc.IP, "8167") }
+
+// MetricsAddress is where the VM's metrics are served.
+func (vmc *VM) MetricsAddress() (address string) { return net.JoinHostPort(vmc.IP, "9464") }
+
+// SettingsPath is the path of the VM's settings file.
+func (vmc *VM) SettingsPath() (path string) { return vmc.settings }
+
+// Target is a target behind a proxy.
+type Target struct {
+	*ptarg.Target
+	ID    string
+	Zone  string
+	Proxy *fault.Proxy
+}
+
+// Fleet is the site.
+type Fleet struct {
+	Store   *pstore.Store
+	VMs     []*VM
+	Targets []*Target
+
+	cfg      Config
+	cleanups []func()
+	next     int
+}
+
+// New starts the store and the targets and prepares the VMs, which Start starts. The function returned ends everything.
+func New(cfg Config) (flt *Fleet, cleanup func(), err error) {
+	flt = &Fleet{
+		cfg: cfg,
+	}
+	defer func() {
+		if err != nil {
+			flt.close()
+		}
+	}()
+	sto, stop, err := pstore.New("127.0.0.1:0")
+	if err != nil {
+		return nil, nil, err
+	}
+	flt.Store = sto
+	flt.cleanups = append(flt.cleanups, stop)
+	for range cfg.Targets {
+		if _, err = flt.AddTarget(); err != nil {
+			return nil, nil, err
+		}
+	}
+	network := fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250)) // sites of parallel tests must not share addresses
+	for num := range cfg.VMs {
+		if err = flt.prepare(num, fmt.Sprint(network, num+1)); err != nil {
+			return nil, nil, err
+		}
+	}
+	return flt, flt.close, nil
+}
+
+// Start starts all VMs and waits until they are ready.
+func (flt *Fleet) Start() (err error) {
+	for _, vmc := range flt.VMs {
+		if err = vmc.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AddTarget starts one more target and registers it.
+func (flt *Fleet) AddTarget() (tgt *Target, err error) {
+	flt.next++
+	id := fmt.Sprintf("i-%03d", flt.next)
+	inner, stop, err := ptarg.New(ptarg.Config{
+		ID:      id,
+		Address: "127.0.0.1:0",
+		Slots:   flt.cfg.Slots,
+		Work:    flt.cfg.Work,
+	})
+	if err != nil {
+		return nil, err
+	}
+	flt.cleanups = append(flt.cleanups, stop)
+	prx, err := flt.proxy(inner.Address())
+	if err != nil {
+		return nil, err
+	}
+	tgt = &Target{
+		Target: inner,
+		ID:     id,
+		Zone:   zones[flt.next%len(zones)],
+		Proxy:  prx,
+	}
+	flt.Targets = append(flt.Targets, tgt)
+	flt.Register(tgt, "ready")
+	return tgt, nil
+}
+
+// Register writes the target's entry as the target does.
+func (flt *Fleet) Register(tgt *Target, state string) {
+	ent := tgt.Registration(Service, tgt.Zone, state)
+	ent["addr"] = tgt.Proxy.Address()
+	flt.Store.Put("servers/"+tgt.ID, ent)
+}
+
+// Configure writes the operator's configuration with a version and the prefixes of idempotent and other routes.
+func (flt *Fleet) Configure(version int, reads, writes []string) {
+	routes := []map[string]any{}
+	for _, prefix := range slices.Concat(reads, writes) {
+		kind := "non_idempotent"
+		if slices.Contains(reads, prefix) {
+			kind = "idempotent"
+		}
+		routes = append(routes, map[string]any{
+			"name":           "r-" + strings.Trim(prefix, "/"),
+			"host":           Host,
+			"prefix":         prefix,
+			"kind":           kind,
+			"timeoutS":       2,
+			"targetLatencyS": 0.4,
+			"priority":       1,
+			"service":        Service,
+			"attempts":       2,
+			"sticky":         true,
+			"homeRegions":    []string{},
+		})
+	}
+	flt.Store.Put("op/config", map[string]any{
+		"version": fmt.Sprintf("%08x", version),
+		"routes":  routes,
+		"services": []map[string]any{{
+			"name":       Service,
+			"healthPath": "/healthz",
+			"maxConns":   330,
+			"protocol":   "h1",
+			"coldStartS": 3,
+			"coldPerS":   7,
+		}},
+		"limits": map[string]any{
+			"maxHeaderBytes": 16384,
+			"maxBodyBytes":   1 << 20,
+			"headerTimeoutS": 3,
+			"idleTimeoutS":   15,
+		},
+	})
+}
+
+func (flt *Fleet) proxy(upstream string) (prx *fault.Proxy, err error) {
+	prx, stop, err := fault.New(fault.Config{
+		Address:  "127.0.0.1:0",
+		Upstream: upstream,
+	})
+	if err == nil {
+		flt.cleanups = append(flt.cleanups, stop)
+	}
+	return prx, err
+}
+
+// prepare writes the settings of a VM.
+func (flt *Fleet) prepare(num int, ip string) (err error) {
+	prx, err := flt.proxy(flt.Store.Address())
+	if err != nil {
+		return err
+	}
+	vmc := &VM{
+		IP:         ip,
+		StoreProxy: prx,
+		settings:   filepath.Join(flt.cfg.Dir, fmt.Sprintf("vm-%d.toml", num)),
+	}
+	zone := zones[num%len(zones)]
+	var text strings.Builder
+	fmt.Fprintf(&text, "node = \"vm-%d\"\nzone = %q\nregion = %q\nip = %q\ninternalPortRange = [7720,7735]\n",
+		num, zone, strings.Split(zone, "-")[0], ip)
+	fmt.Fprintf(&text, "bounds = [\"graceS=%g\",\"budgetRatio=%g\",\"budgetWindowS=10\",\"budgetSlack=%d\",\"coldOverage=1.5\",\"coldSlack=5\",\"ttl_max_s=5\",\"maxRegionShift=0.15\"]\n",
+		GraceTime.Seconds(), RepeatRatio, RepeatSlack)
+	text.WriteString("[zones]\n")
+	for _, dom := range zones {
+		fmt.Fprintf(&text, "%s = %q\n", dom, strings.Split(dom, "-")[0])
+	}
+	fmt.Fprintf(&text, "[listen]\nfront = %q\nready = %q\ndirectory = %q\n", vmc.CallerAddress(), vmc.ReadyAddress(), vmc.LookupAddress())
+	fmt.Fprintf(&text, "[limits]\nmemoryMb = 284\nmaxFds = 4100\n[platform]\naddr = %q\nform = \"kv\"\nttlMinS = 1\n", prx.Address())
+	if err = os.WriteFile(vmc.settings, []byte(text.String()), 0o600); err != nil {
+		return err
+	}
+	prc, stop, err := procs.NewProcess(flt.cfg.Dir, fmt.Sprintf("vm-%d", num), "entryvm", "serve", "--settings", vmc.settings)
+	if err != nil {
+		return errors.Wrap(err, "prepare VM")
+	}
+	vmc.Process = prc
+	flt.cleanups = append(flt.cleanups, stop)
+	flt.VMs = append(flt.VMs, vmc)
+	return nil
+}
+
+func (flt *Fleet) close() {
+	for num := len(flt.cleanups) - 1; num >= 0; num-- {
+		flt.cleanups[num]()
+	}
+}
--- a/internal/stand/procs/doc.go
+++ b/internal/stand/procs/doc.go
@@ -46,6 +46,6 @@
 	}
 	//nolint:noctx // bounded by the timeout of the test binary
 	out, err := exec.Command("go", "build", "-o", dir+"/",
-		"cardamompass/cmd/cardamompass", "cardamompass/cmd/standin").CombinedOutput()
+		"cardamompass/cmd/cardamompass", "cardamompass/cmd/standin", "cardamompass/cmd/entryvm").CombinedOutput()
 	return dir, errors.WithMessage(err, string(out))
 }
--- a/internal/stand/procs/process.go
+++ b/internal/stand/procs/process.go
@@ -48,6 +48,12 @@
 	}, err
 }
 
+// NewProcess prepares a process of a program of this repository that logs below dir, and returns the function that ends it.
+func NewProcess(dir, name, prog string, args ...string) (prc *Process, cleanup func(), err error) {
+	prc, err = newProcess(dir, name, prog, args...)
+	return prc, prc.close, err
+}
+
 // Name names the process.
 func (prc *Process) Name() string { return prc.name }
 
@@ -125,6 +131,12 @@
 	return nil
 }
 
+// Terminate asks the process to stop (SIGTERM) and does not wait.
+func (prc *Process) Terminate() (err error) { return prc.signal(syscall.SIGTERM) }
+
+// Reload sends SIGHUP.
+func (prc *Process) Reload() (err error) { return prc.signal(syscall.SIGHUP) }
+
 // Freeze pauses the process (SIGSTOP) until Resume.
 func (prc *Process) Freeze() (err error) { return prc.signal(syscall.SIGSTOP) }
 
