--- a/cmd/entryvm/serve.go
+++ b/cmd/entryvm/serve.go
@@ -77,7 +77,7 @@
 	return nil
 }
 
-func memoryLimit(limit int64) (bytes int64) {
+func memoryLimit(limit int64) (size int64) {
 	if limit <= 0 {
 		return math.MaxInt64
 	}
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -430,7 +430,7 @@
 	sit := newSite(t, 1)
 	sit.front.Stop()
 	rsp, err := http.DefaultClient.Do(sit.request(t.Context(), "/read/a", "r-1"))
-	if err != nil || rsp.StatusCode != 200 || !rsp.Close {
+	if err != nil || rsp.StatusCode != http.StatusOK || !rsp.Close {
 		t.Fatalf("answer %+v, error %v", rsp, err)
 	}
 	rsp.Body.Close()
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -76,7 +76,7 @@
 			if len(under) > 0 {
 				continue
 			}
-			if !run.again(ctx, atm) || launch(false) != nil {
+			if !run.again(ctx) || launch(false) != nil {
 				return run.last(atm)
 			}
 		case <-hedge.C():
@@ -183,8 +183,8 @@
 	}
 }
 
-// again reports whether the request may be sent once more after an attempt.
-func (run *job) again(ctx context.Context, atm *attempt) (ok bool) {
+// again reports whether the request may be sent once more after a failed attempt.
+func (run *job) again(ctx context.Context) (ok bool) {
 	frt := run.exc.frt
 	now := frt.cfg.Clock.Now()
 	if ctx.Err() != nil || run.msg.Deadline.Sub(now) < leastTime {
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -174,8 +174,8 @@
 }
 
 // own registers the clean-up function of a part.
-func own[T any](nod *Node, make func() (T, func())) (part T) {
-	part, cleanup := make()
+func own[T any](nod *Node, start func() (T, func())) (part T) {
+	part, cleanup := start()
 	nod.cleanups = append(nod.cleanups, cleanup)
 	return part
 }
--- a/internal/fleet/view/follow.go
+++ b/internal/fleet/view/follow.go
@@ -45,7 +45,6 @@
 	out     Outage
 	listed  bool
 	pause   time.Duration
-	purged  chan struct{}
 }
 
 // New starts to follow the store and returns the function that ends it.
--- a/internal/stand/pstore/pstore.go
+++ b/internal/stand/pstore/pstore.go
@@ -6,6 +6,7 @@
 package pstore
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -66,7 +67,7 @@
 
 // New starts a store on an address, with port 0 for any, and returns the function that ends it.
 func New(address string) (sto *Store, cleanup func(), err error) {
-	lsn, err := net.Listen("tcp", address)
+	lsn, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/stand/ptarg/ptarg.go
+++ b/internal/stand/ptarg/ptarg.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -81,7 +82,7 @@
 
 // New starts a target and returns the function that ends it.
 func New(cfg Config) (tgt *Target, cleanup func(), err error) {
-	lsn, err := net.Listen("tcp", cfg.Address)
+	lsn, err := new(net.ListenConfig).Listen(context.Background(), "tcp", cfg.Address)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -224,16 +225,19 @@
 		wrt.Header().Set("Response-Seal", "seal-"+id)
 		wrt.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d,100", tgt.running.Load()-1, tgt.cfg.Slots))
 		wrt.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		switch flt {
-		case FaultError:
-			wrt.WriteHeader(http.StatusInternalServerError)
-		case FaultFalse503:
-			wrt.WriteHeader(http.StatusServiceUnavailable)
+		if status, ok := failures[flt]; ok {
+			wrt.WriteHeader(status)
 		}
 		_, _ = io.WriteString(wrt, body)
 	}
 }
 
+// failures are the statuses of the faults that are whole answers.
+var failures = map[Fault]int{
+	FaultError:    http.StatusInternalServerError,
+	FaultFalse503: http.StatusServiceUnavailable,
+}
+
 // raw writes bytes and ends the connection, or with linger keeps it open for a while and writes them once more.
 func (tgt *Target) raw(wrt http.ResponseWriter, text string, linger bool) {
 	con, buf, err := http.NewResponseController(wrt).Hijack()
--- a/internal/steer/place/place_test.go
+++ b/internal/steer/place/place_test.go
@@ -78,10 +78,10 @@
 	return view.Empty().WithListing(flt.changes, 1, view.Outage{}, start)
 }
 
-func newBoard(num int, region cardamompass.Region) (brd *place.Board) {
+func newBoard(num int) (brd *place.Board) {
 	return place.New(place.Config{
 		Self:           cardamompass.VMID(fmt.Sprintf("vm-%d", num)),
-		Region:         region,
+		Region:         "a",
 		Regions:        regions,
 		ColdOverage:    1.5,
 		ColdSlack:      5,
@@ -102,7 +102,7 @@
 // Guards against VMs that place the same object on different targets, where it is slow on each.
 func TestVMsAgreeOnTheTargetOfAnObject(t *testing.T) {
 	vew := newFleet(7).with("a-1", 5).with("a-2", 5).with("b-1", 5).with("c-1", 5).view()
-	one, two := newBoard(1, "a"), newBoard(2, "a")
+	one, two := newBoard(1), newBoard(2)
 	one.Sync(vew, start)
 	two.Sync(vew, start)
 	for object := range uint64(200) {
@@ -142,7 +142,7 @@
 			if tst.query != nil {
 				tst.query(&qry)
 			}
-			brd := newBoard(1, "a")
+			brd := newBoard(1)
 			brd.Sync(flt.view(), start)
 			chc, ok := brd.Choose(qry)
 			if ok || tst.count(chc.Rejected) != 1 {
@@ -165,7 +165,7 @@
 		vew := flt.view()
 		boards := make([]*place.Board, vms)
 		for num := range boards {
-			boards[num] = newBoard(num, "a")
+			boards[num] = newBoard(num)
 			boards[num].Sync(vew, start)
 		}
 		rng := rand.New(rand.NewPCG(seed, 1))
@@ -199,7 +199,7 @@
 // Guards against a shift of more objects between regions than the cap allows when targets come or go elsewhere.
 func TestRegionsShiftSlowly(t *testing.T) {
 	flt := newFleet(7).with("a-1", 1).with("a-2", 1).with("b-1", 5).with("b-2", 5).with("c-1", 5).with("c-2", 5)
-	brd := newBoard(1, "a")
+	brd := newBoard(1)
 	brd.Sync(flt.view(), start)
 	served := func(now time.Time) (part map[cardamompass.Region]float64) {
 		part = make(map[cardamompass.Region]float64)
@@ -235,7 +235,7 @@
 
 // Guards against spreading objects over targets that have not handled them, which makes work slower when there is least room.
 func TestBusyTargetsRefuse(t *testing.T) {
-	brd := newBoard(1, "a")
+	brd := newBoard(1)
 	brd.Sync(newFleet(1).with("a-1", 4).view(), start)
 	used := make(map[cardamompass.InstanceID]int)
 	refused := 0
@@ -272,7 +272,7 @@
 	}
 	for _, tst := range tests {
 		t.Run(tst.name, func(t *testing.T) {
-			brd := newBoard(1, "a")
+			brd := newBoard(1)
 			brd.Sync(newFleet(1).with("a-1", 6).view(), start)
 			first, _ := brd.Choose(query(9, start))
 			tst.out.Instance = first.Instance.ID
@@ -290,7 +290,7 @@
 
 // Guards against no answer at all when every target of a service has just failed.
 func TestAvoidedTargetsAreTheLastResort(t *testing.T) {
-	brd := newBoard(1, "a")
+	brd := newBoard(1)
 	brd.Sync(newFleet(1).with("a-1", 1).view(), start)
 	chc, _ := brd.Choose(query(9, start))
 	brd.Sent(chc.Instance.ID, start)
@@ -305,7 +305,7 @@
 
 // Guards against shares of budgets that grow at once when VMs vanish from the store though they still run.
 func TestVMsAreForgottenSlowly(t *testing.T) {
-	brd := newBoard(1, "a")
+	brd := newBoard(1)
 	brd.Sync(newFleet(7).view(), start)
 	brd.Sync(newFleet(2).view(), start.Add(time.Second))
 	if got := brd.VMs(start.Add(2 * time.Second)); got != 7 {
@@ -319,7 +319,7 @@
 func BenchmarkChoose(b *testing.B) {
 	for _, count := range []int{22, 244, 666} {
 		b.Run(fmt.Sprint(count), func(b *testing.B) {
-			brd := newBoard(1, "a")
+			brd := newBoard(1)
 			brd.Sync(newFleet(35).with("a-1", count/2).with("b-1", count-count/2).view(), start)
 			for num := range b.N {
 				brd.Choose(query(uint64(num), start))
