--- a/internal/steer/place/choose.go
+++ b/internal/steer/place/choose.go
@@ -148,8 +148,8 @@
 		} else if best < 0 || cnd.expected < ranked[best].expected {
 			best = num
 		}
-		if num+1 >= closeRanks && best >= 0 {
-			return best
+		if num+1 >= closeRanks && (best >= 0 || qry.Spare) {
+			return best // a second copy beyond the close ranks would hardly be in time and take the room of fast work
 		}
 	}
 	return best
