place: less spare room for objects beyond their close ranks

Change: an instance beyond the close ranks, or a second one, is used below 0.34 instead of 0.5 of its slots.

--- a/internal/steer/place/choose.go
+++ b/internal/steer/place/choose.go
@@ -19,7 +19,7 @@
 	ranksKept = 12
 	// spareLoad is the load relative to the slots below which an instance beyond the close ranks, or a second one for the same
 	// request, may be used. Above it, work that is slow there takes the room of work that is fast.
-	spareLoad = 0.5
+	spareLoad = 0.34
 	// warmTime is the time of work on an object that the instance has handled before, relative to other work.
 	warmTime = 0.3
 	// unknownFirst is the expected time at the first rank for an object that this VM has not sent before; other VMs probably have.
