view: wait 400 ms after changes before the next watch

Change: changes that follow within 400 ms take one call. Bounds on changes are two seconds and more.

--- a/internal/fleet/view/follow.go
+++ b/internal/fleet/view/follow.go
@@ -17,7 +17,7 @@
 	watchWait = 1500 * time.Millisecond
 	// batchWait is the pause after changes, so that changes in quick succession take one call; calls are priced and changes have two
 	// seconds to come into force.
-	batchWait = 200 * time.Millisecond
+	batchWait = 400 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call. Refused calls are priced like others.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
