entryvm: explain a request from logs

Change: internal/obs/trace reads lines of several VMs and names the cause; entryvm explain prints them. Tests for causes, order and bad lines.

--- a/cmd/entryvm/main.go
+++ b/cmd/entryvm/main.go
@@ -9,8 +9,9 @@
 
 // commands is the command line.
 type commands struct {
-	Serve ServeCmd `cmd:"" default:"withargs" help:"Run the entry VM."`
-	Check CheckCmd `cmd:"" help:"Check a settings file in the platform's format."`
+	Serve   ServeCmd   `cmd:"" default:"withargs" help:"Run the entry VM."`
+	Check   CheckCmd   `cmd:"" help:"Check a settings file in the platform's format."`
+	Explain ExplainCmd `cmd:"" help:"Tell from logs why a request ended as it did."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/obs/trace/trace_test.go
@@ -0,0 +1,55 @@
+package trace_test
+
+import (
+	"strings"
+	"testing"
+
+	"cardamompass/internal/obs/trace"
+)
+
+const logs = `   12.0 vm-1 time=2026-01-24T09:36:00.100Z level=info event="request sent" process=vm-1 request=r-1 second=false target=i-1 rank=0
+time=2026-01-24T09:35:59.000Z level=warn event="store lost" process=vm-1 error="connection reset" age=208ms
+time=2026-01-24T09:35:59.500Z level=warn event="store lost" process=vm-2 error="connection reset"
+time=2026-01-24T09:36:00.300Z level=warn event="request failed" process=vm-1 request=r-1 status=502 took=210ms error="broken: EOF"
+time=2026-01-24T09:36:00.200Z level=info event="attempt failed" process=vm-1 request=r-1 target=i-1 kind=broken not-run=false error=EOF
+panic: not a line of the log
+time=2026-01-24T09:36:00.300Z level=info event="request answered" process=vm-1 request=r-10 status=200
+time=2026-01-24T09:36:01.000Z level=warn event="request refused" process=vm-2 request=r-2 reason="the VM stops" store-age=4ms
+time=2026-01-24T09:36:01.000Z level=info event="request sent" process=vm-2 request=r-3 second=false target=i-1
+time=2026-01-24T09:36:02.000Z level=warn event="request timeout" process=vm-2 request=r-3 allowed=1s
+time=2026-01-24T09:36:03.000Z level=info event="request sent" process=vm-2 request=r-4 second=false target=i-1
+`
+
+// Guards against a cause that the lines do not show, and against lines of another request or VM.
+func TestCause(t *testing.T) {
+	tests := []struct {
+		request string
+		lines   int
+		context int
+		cause   string
+	}{
+		{"r-1", 3, 1, "target i-1 failed after the request was sent (broken: EOF), and it may have run"},
+		{"r-2", 1, 1, "refused before a target was chosen: the VM stops"},
+		{"r-3", 2, 1, "no answer of target i-1 within the 1s"},
+		{"r-4", 1, 0, "no end in these logs"},
+		{"r-10", 1, 1, "answered with 200"},
+		{"r-9", 0, 0, "no line names this request"},
+	}
+	for _, tst := range tests {
+		t.Run(tst.request, func(t *testing.T) {
+			half := strings.Index(logs, "panic")
+			sty, err := trace.Read(tst.request, strings.NewReader(logs[half:]), strings.NewReader(logs[:half]))
+			if err != nil || sty.Unreadable != 1 {
+				t.Fatalf("%d unreadable lines, error %v", sty.Unreadable, err)
+			}
+			if len(sty.Lines) != tst.lines || len(sty.Context) != tst.context || !strings.Contains(sty.Cause(), tst.cause) {
+				t.Fatalf("%d lines, %d of context, cause %q", len(sty.Lines), len(sty.Context), sty.Cause())
+			}
+			for num := 1; num < len(sty.Lines); num++ {
+				if sty.Lines[num].Time.Before(sty.Lines[num-1].Time) {
+					t.Fatal("the lines are not in the order of their times")
+				}
+			}
+		})
+	}
+}
