node: open the listeners with the first routing table

Cause: a VM that has just started refused what callers sent in its first 30 ms; a caller that finds no listener uses another VM at once. Change: the listeners wait for the first table, at most a second; the age of a store that never answered is -1 instead of centuries.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -27,6 +27,9 @@
 const (
 	// metricsPort is where metrics are served. The deploy file names it.
 	metricsPort = "9464"
+	// firstTableWait is how long the listeners wait for the first routing table, firstTablePoll the time between two looks.
+	firstTableWait = time.Second
+	firstTablePoll = 5 * time.Millisecond
 	// trimInterval is the time between two looks for idle connections that are too old.
 	trimInterval = time.Second
 	// headerTimeout bounds the reading of a caller's header until the routing table says more.
@@ -128,6 +131,7 @@
 			Dial:     send.Dialer(targetSilence),
 		})
 	})
+	nod.awaitTable()
 	if err = nod.listen(); err != nil {
 		nod.close()
 		return nil, nil, err
@@ -217,6 +221,14 @@
 	})
 }
 
+// awaitTable waits a short time for the first routing table, because a caller that finds no listener uses another VM at once.
+func (nod *Node) awaitTable() {
+	for end := nod.cfg.Clock.Now().Add(firstTableWait); nod.follower.View().Table == nil && nod.cfg.Clock.Now().Before(end); {
+		tmr := nod.cfg.Clock.NewTimer(firstTablePoll)
+		<-tmr.C()
+	}
+}
+
 func (nod *Node) listen() (err error) {
 	set := nod.cfg.Settings
 	lookups := direct.New(direct.Config{
--- a/internal/fleet/view/follow.go
+++ b/internal/fleet/view/follow.go
@@ -72,8 +72,11 @@
 // View returns the current view.
 func (flw *Follower) View() (vew *View) { return flw.current.Load() }
 
-// Age returns the time since the store's last answer.
+// Age returns the time since the store's last answer; negative when there was none.
 func (flw *Follower) Age() (age time.Duration) {
+	if flw.contact.Load() == 0 {
+		return -1
+	}
 	return flw.cfg.Clock.Now().Sub(time.Unix(0, flw.contact.Load()))
 }
 
