--- a/internal/fleet/view/follow.go
+++ b/internal/fleet/view/follow.go
@@ -15,9 +15,11 @@
 	// watchWait is how long the store holds a watch without changes. A connection that went silent is noticed only when the wait is
 	// over, and changes must be in force about two seconds after their acknowledgement.
 	watchWait = 1500 * time.Millisecond
-	// batchWait is the pause after changes, so that changes in quick succession take one call; calls are priced and changes have two
-	// seconds to come into force.
-	batchWait = 400 * time.Millisecond
+	// batchWait is the pause after changes for each running VM, between batchLeast and batchMost, so that changes in quick succession take
+	// one call. Calls are priced, each change costs every VM one, and changes have two seconds and more to come into force.
+	batchWait  = 30 * time.Millisecond
+	batchLeast = 400 * time.Millisecond
+	batchMost  = time.Second
 	// retryFirst and retryMost bound the pause after a failed call. Refused calls are priced like others.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
@@ -167,7 +169,7 @@
 		return
 	}
 	flw.publish(flw.View().With(ftc.chs, ftc.revision, flw.out, now))
-	flw.sleep(ctx, batchWait)
+	flw.sleep(ctx, min(batchMost, max(batchLeast, batchWait*time.Duration(len(flw.View().vms)))))
 }
 
 func (flw *Follower) failed(ctx context.Context, err error) {
