node: gauges and a state dump; requests counted by service

Change: table version, store age, VMs, targets, connections and dropped lines as gauges; /state dumps what the process believes; 200 instead of 100 lines of one message a second, since a VM of the grown sites sends 86 requests a second and second copies. Measured: users TestWholePath finds the metrics and the dump.

--- a/cmd/entryvm/serve.go
+++ b/cmd/entryvm/serve.go
@@ -23,7 +23,7 @@
 const (
 	// linesPerSecond bounds the log lines with the same message in a second. Lines of failed and refused requests have messages of their
 	// own, so that lines of good requests never displace them.
-	linesPerSecond = 100
+	linesPerSecond = 200
 	// storeSilence ends a connection to the store that does not confirm what was sent.
 	storeSilence = time.Second
 	// settingsInterval is the time between two looks at the settings file, which may change without a signal.
@@ -62,7 +62,7 @@
 	defer stopMetrics()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	nod, cleanup, err := newNode(set, log, mtr)
+	nod, cleanup, err := newNode(set, log, mtr, func() int64 { return log.Dropped() + out.Dropped() })
 	if err != nil {
 		return err
 	}
@@ -84,7 +84,9 @@
 	return int64(memoryPart * float64(limit))
 }
 
-func newNode(set cardamompass.VMSettings, log *logkv.Logger, mtr *metric.Metrics) (nod *node.Node, cleanup func(), err error) {
+func newNode(
+	set cardamompass.VMSettings, log *logkv.Logger, mtr *metric.Metrics, dropped func() int64,
+) (nod *node.Node, cleanup func(), err error) {
 	calls := mtr.Scope()
 	reg, closeRegistry := platform.NewRegistry(platform.RegistryConfig{
 		Address: set.StoreAddress,
@@ -98,13 +100,14 @@
 		},
 	})
 	nod, stop, err := node.New(node.Config{
-		Settings:    set,
-		Protocol:    platform.Protocol{},
-		Registry:    reg,
-		Clock:       cardamompass.SystemClock{},
-		Log:         log.Logger,
-		Metrics:     mtr,
-		Incarnation: cardamompass.Incarnation(time.Now().UnixNano()),
+		Settings:     set,
+		Protocol:     platform.Protocol{},
+		Registry:     reg,
+		Clock:        cardamompass.SystemClock{},
+		Log:          log.Logger,
+		Metrics:      mtr,
+		LinesDropped: dropped,
+		Incarnation:  cardamompass.Incarnation(time.Now().UnixNano()),
 	})
 	if err != nil {
 		closeRegistry()
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -293,7 +293,7 @@
 // finish logs and counts the end of a request.
 func (exc *exchange) finish(outcome string, status int, run *job, err error) {
 	ela := exc.frt.cfg.Clock.Now().Sub(exc.start)
-	exc.frt.met.finished(exc.route, outcome, ela)
+	exc.frt.met.finished(exc.route, exc.service, outcome, ela)
 	fields := []zap.Field{
 		zap.String("route", exc.route.Name), zap.String("service", string(exc.service)), zap.String("object", exc.inc.Object),
 		zap.String("outcome", outcome), zap.Int("status", status), zap.Duration("took", ela),
--- a/internal/edge/front/metric.go
+++ b/internal/edge/front/metric.go
@@ -24,8 +24,9 @@
 	}
 }
 
-func (met metrics) finished(rte *cardamompass.Route, outcome string, ela time.Duration) {
+func (met metrics) finished(rte *cardamompass.Route, svc cardamompass.ServiceName, outcome string, ela time.Duration) {
 	scp := met.scope.Tagged(map[string]string{
+		"service":    string(svc),
 		"priority":   strconv.Itoa(rte.Priority),
 		"idempotent": strconv.FormatBool(rte.Idempotent),
 		"outcome":    outcome,
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -48,6 +48,8 @@
 	Clock    cardamompass.Clock
 	Log      *zap.Logger
 	Metrics  *metric.Metrics
+	// LinesDropped returns the number of log lines that were left out.
+	LinesDropped func() int64
 	// Incarnation distinguishes the runs of the process.
 	Incarnation cardamompass.Incarnation
 }
@@ -137,6 +139,7 @@
 		return nil, nil, err
 	}
 	nod.every(trimInterval, nod.trim)
+	nod.every(gaugeInterval, func() { nod.gauges(scp) })
 	return nod, nod.close, nil
 }
 
@@ -242,6 +245,7 @@
 	lookupRoutes, readyRoutes, metricRoutes := mux.NewRouter(), mux.NewRouter(), mux.NewRouter()
 	lookupRoutes.Handle(nod.cfg.Protocol.LookupPath(), lookups).Methods(http.MethodGet)
 	readyRoutes.HandleFunc(nod.cfg.Protocol.ReadyPath(), nod.ready).Methods(http.MethodGet)
+	metricRoutes.HandleFunc("/state", nod.dump).Methods(http.MethodGet)
 	metricRoutes.Handle("/metrics", nod.cfg.Metrics.Page()).Methods(http.MethodGet)
 	for _, lst := range []struct {
 		address string
--- /dev/null
+++ b/internal/edge/node/state.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"cardamompass"
+	"cardamompass/internal/steer/place"
+)
+
+// gaugeInterval is the time between two updates of the gauges.
+const gaugeInterval = time.Second
+
+// gauges set the metrics that are read off the state.
+func (nod *Node) gauges(scp tally.Scope) {
+	vew := nod.follower.View()
+	if vew.Table != nil {
+		scp.Gauge("table-version").Update(float64(vew.Table.Version))
+	}
+	scp.Gauge("store-age-seconds").Update(nod.follower.Age().Seconds())
+	scp.Gauge("running-vms").Update(float64(len(nod.running()) + 1))
+	scp.Gauge("targets").Update(float64(len(vew.All())))
+	scp.Gauge("idle-connections").Update(float64(nod.sender.Idle()))
+	scp.Gauge("active-requests").Update(float64(nod.front.Active()))
+	scp.Gauge("log-lines-dropped").Update(float64(nod.cfg.LinesDropped()))
+}
+
+// state is the dump of the process.
+type state struct {
+	VM           cardamompass.VMID   `json:"vm"`
+	Stopping     bool                `json:"stopping"`
+	TableVersion uint64              `json:"table-version"`
+	Revision     int64               `json:"store-revision"`
+	StoreAge     float64             `json:"store-age"` // seconds; negative if the store never answered
+	Active       int                 `json:"active-requests"`
+	Running      []cardamompass.VMID `json:"other-vms"`
+	Board        place.Dump          `json:"board"`
+}
+
+// dump writes the state of the process as JSON.
+func (nod *Node) dump(wrt http.ResponseWriter, _ *http.Request) {
+	vew := nod.follower.View()
+	sta := state{
+		VM:       nod.self.ID,
+		Stopping: nod.stopping.Load(),
+		Revision: vew.Revision,
+		StoreAge: nod.follower.Age().Seconds(),
+		Active:   nod.front.Active(),
+		Board:    nod.board.Dump(nod.cfg.Clock.Now()),
+	}
+	if vew.Table != nil {
+		sta.TableVersion = vew.Table.Version
+	}
+	for _, vmc := range nod.running() {
+		sta.Running = append(sta.Running, vmc.ID)
+	}
+	wrt.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(wrt).Encode(sta); err != nil {
+		nod.cfg.Log.Info("state not written", zap.Error(err))
+	}
+}
--- a/internal/proof/users/users_test.go
+++ b/internal/proof/users/users_test.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -135,11 +136,32 @@
 	if count := sit.check(); count[200] < perSecond || len(count) != 1 {
 		t.Fatalf("answers by status: %v", count)
 	}
-	rsp, err := http.Get("http://" + sit.VMs[0].MetricsAddress() + "/metrics")
+	for path, want := range map[string][]string{
+		"/metrics": {"cardamompass_requests", "cardamompass_request_seconds", "cardamompass_attempts", "cardamompass_store_calls", "cardamompass_table_version 1"},
+		"/state":   {`"table-version":1`, `"other-vms":["vm-`, `"instance":"i-001"`},
+	} {
+		text := sit.get("http://" + sit.VMs[0].MetricsAddress() + path)
+		for _, part := range want {
+			if !strings.Contains(text, part) {
+				t.Errorf("%s has no %s", path, part)
+			}
+		}
+	}
+}
+
+// get returns a page.
+func (sit *site) get(address string) (text string) {
+	sit.t.Helper()
+	rsp, err := http.Get(address)
+	if err != nil {
+		sit.t.Fatal(err)
+	}
+	defer rsp.Body.Close()
+	data, err := io.ReadAll(rsp.Body)
 	if err != nil || rsp.StatusCode != http.StatusOK {
-		t.Fatalf("metrics: %v", err)
+		sit.t.Fatalf("%s: status %d, error %v", address, rsp.StatusCode, err)
 	}
-	rsp.Body.Close()
+	return string(data)
 }
 
 // Guards against requests that a planned stop cuts, and against a VM that is still named or ready while it stops.
