--- a/internal/steer/place/choose.go
+++ b/internal/steer/place/choose.go
@@ -30,6 +30,9 @@
 	waitTime = 0.45
 	// spreadTime makes an emptier instance win between equals.
 	spreadTime = 0.1
+	// rankTime keeps an object on its first target while that has room. Targets keep a bounded number of objects, and every further target
+	// of an object takes the place of another one.
+	rankTime = 0.4
 	// failureTime is the cost of a failure that is certain, in the same unit.
 	failureTime = 3
 )
@@ -275,6 +278,7 @@
 	cnd.expected = work*sta.slowness(now) +
 		waitTime*max(0, cnd.load+1-slots)/slots +
 		spreadTime*cnd.load/slots +
+		rankTime*float64(rank) +
 		failureTime*sta.failureRate(now)
 }
 
