node: apply the table's limits on headers and idle connections; drop unused settings

Cause: limits of the operators were decoded and not enforced; some settings and fields were read by nobody. Change: the listeners take header time, idle time and header size from the table at their start; unused fields are gone.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -32,10 +33,9 @@
 	firstTablePoll = 5 * time.Millisecond
 	// trimInterval is the time between two looks for idle connections that are too old.
 	trimInterval = time.Second
-	// headerTimeout bounds the reading of a caller's header until the routing table says more.
+	// headerTimeout and idleTimeout bound the reading of a header and the idle time of a connection where the routing table has no limits.
 	headerTimeout = 10 * time.Second
-	// idleTimeout is how long a caller's idle connection is kept. Callers reuse theirs for less than the table's limit.
-	idleTimeout = 60 * time.Second
+	idleTimeout   = 60 * time.Second
 	// targetSilence ends a connection to a target that does not confirm what was sent.
 	targetSilence = 1500 * time.Millisecond
 )
@@ -269,10 +269,12 @@
 	if err != nil {
 		return err
 	}
+	lim := nod.limits()
 	srv := &http.Server{
 		Handler:           hnd,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
+		ReadHeaderTimeout: lim.HeaderTimeout,
+		IdleTimeout:       lim.IdleTimeout,
+		MaxHeaderBytes:    lim.MaxHeaderBytes,
 		ErrorLog:          zap.NewStdLog(nod.cfg.Log),
 	}
 	nod.servers = append(nod.servers, srv)
@@ -284,6 +286,17 @@
 	return nil
 }
 
+// limits returns the limits of callers as they are when the listeners open; later ones hold from the next start.
+func (nod *Node) limits() (lim cardamompass.CallerLimits) {
+	if tbl := nod.follower.View().Table; tbl != nil {
+		lim = tbl.Limits
+	}
+	lim.HeaderTimeout = cmp.Or(lim.HeaderTimeout, headerTimeout)
+	lim.IdleTimeout = cmp.Or(lim.IdleTimeout, idleTimeout)
+	lim.MaxHeaderBytes = cmp.Or(lim.MaxHeaderBytes, http.DefaultMaxHeaderBytes)
+	return lim
+}
+
 // ready says whether callers should be sent here.
 func (nod *Node) ready(wrt http.ResponseWriter, _ *http.Request) {
 	if nod.stopping.Load() || nod.follower.View().Table == nil {
--- a/routing.go
+++ b/routing.go
@@ -56,10 +56,6 @@
 // ServicePolicy is what operators say about the targets of a service.
 type ServicePolicy struct {
 	Name ServiceName
-	// HealthPath is the path of the health check.
-	HealthPath string
-	// MaxConnections bounds the connections to one target from all entry VMs.
-	MaxConnections int
 	// ColdFor is the time for which a target is cold after its start.
 	ColdFor time.Duration
 	// ColdRate is the number of requests a second that a cold target tolerates.
--- a/vmsettings.go
+++ b/vmsettings.go
@@ -21,9 +21,8 @@
 	StoreAddress string
 	// MinLeaseTTL is the shortest time to live of a lease.
 	MinLeaseTTL time.Duration
-	// MemoryBytes and MaxDescriptors are the limits of the process.
-	MemoryBytes    int64
-	MaxDescriptors int
+	// MemoryBytes is the memory limit of the process.
+	MemoryBytes int64
 	// GraceTime is the time between the request to stop and the kill.
 	GraceTime time.Duration
 	// RepeatPercent and RepeatSlack bound the repeats of all VMs in RepeatWindow: a percentage of the requests plus a number.
@@ -37,10 +36,4 @@
 	MaxLookupTTL time.Duration
 	// MaxRegionShift is the part of a region's requests that may change the serving region from one window of 2 s to the next.
 	MaxRegionShift float64
-	// StableWindow is the time after a disturbance for which time bounds do not hold.
-	StableWindow time.Duration
-	// ReuseAfter is the time after which the address of an ended target may belong to another.
-	ReuseAfter time.Duration
-	// ConfigApplyBound is the time within which a new routing table must be in force.
-	ConfigApplyBound time.Duration
 }
