place: a VM that has just started sends nothing to cold targets until it knows the others

Ruled out: a wrong sum of quotas while all know each other (property test). Change: VMs that are heard by datagrams count for the division, beside those of the store; in the first 3 s a VM that knows fewer VMs than there are failure domains sends nothing to cold targets. The property test lets the VMs run for a minute before the target starts; its bound is the same.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -31,6 +31,8 @@
 	// firstTableWait is how long the listeners wait for the first routing table, firstTablePoll the time between two looks.
 	firstTableWait = time.Second
 	firstTablePoll = 5 * time.Millisecond
+	// censusInterval is the time between two counts of the VMs that were heard.
+	censusInterval = 200 * time.Millisecond
 	// trimInterval is the time between two looks for idle connections that are too old.
 	trimInterval = time.Second
 	// headerTimeout and idleTimeout bound the reading of a header and the idle time of a connection where the routing table has no limits.
@@ -139,6 +141,7 @@
 		return nil, nil, err
 	}
 	nod.every(trimInterval, nod.trim)
+	nod.every(censusInterval, func() { nod.board.NoteHeard(len(nod.caster.Running())+1, cfg.Clock.Now()) })
 	nod.every(gaugeInterval, func() { nod.gauges(scp) })
 	return nod, nod.close, nil
 }
--- a/internal/steer/place/choose.go
+++ b/internal/steer/place/choose.go
@@ -241,6 +241,9 @@
 func (brd *Board) coldQuota(ins *cardamompass.Instance, now time.Time) (quota int) {
 	total := int(math.Floor(brd.policy(ins.Service).ColdRate*brd.cfg.ColdOverage+brd.cfg.ColdSlack)) - 1
 	count := brd.vms.count(now)
+	if now.Sub(brd.started) < acquaintance && count < len(brd.cfg.Regions) {
+		return 0
+	}
 	quota = total / count
 	if total%count == 0 {
 		return quota
--- a/internal/steer/place/place.go
+++ b/internal/steer/place/place.go
@@ -44,6 +44,9 @@
 	parts     map[cardamompass.ServiceName]*parts
 	trails    map[uint64]*trail
 	vms       census
+	// heard is the number of VMs that run by their own word, started when the first view came.
+	heard   int
+	started time.Time
 }
 
 // New returns a Board that knows no instance.
@@ -63,7 +66,10 @@
 	defer brd.mu.Unlock()
 	old := brd.vew
 	brd.vew = vew
-	brd.vms.note(len(vew.VMs()), now)
+	brd.vms.note(max(brd.heard, len(vew.VMs())), now)
+	if brd.started.IsZero() {
+		brd.started = now
+	}
 	for _, ins := range vew.All() {
 		sta, known := brd.states[ins.ID]
 		if !known || !sta.ins.SameStart(ins) {
@@ -101,6 +107,14 @@
 	return brd.vew.Table.Services[svc]
 }
 
+// NoteHeard takes the number of VMs that run by their own word, this one included.
+func (brd *Board) NoteHeard(count int, now time.Time) {
+	brd.mu.Lock()
+	defer brd.mu.Unlock()
+	brd.heard = count
+	brd.vms.note(max(count, len(brd.vew.VMs())), now)
+}
+
 // VMs returns the number of VMs among which common budgets are divided, at least 1.
 func (brd *Board) VMs(now time.Time) (count int) {
 	brd.mu.Lock()
--- a/internal/steer/place/place_test.go
+++ b/internal/steer/place/place_test.go
@@ -166,6 +166,7 @@
 		boards := make([]*place.Board, vms)
 		for num := range boards {
 			boards[num] = newBoard(num)
+			boards[num].Sync(newFleet(vms).view(), start.Add(-time.Minute)) // the VMs run for a while when the target starts
 			boards[num].Sync(vew, start)
 		}
 		rng := rand.New(rand.NewPCG(seed, 1))
@@ -196,6 +197,51 @@
 	prp.TestingRun(t)
 }
 
+// Guards against a VM that has just started and takes the whole allowance of a cold target, because the entries of the other VMs have
+// lapsed with the store: 'store-down-crash-release --seed 302751198589' on martban-net broke FAILBACK with 11 requests in one second.
+func TestColdTargetAndRestartedVM(t *testing.T) {
+	const bound = 7*1.5 + 5
+	cold := func(vms int) (vew *view.View) {
+		flt := newFleet(vms).with("a-1", 1)
+		flt.changes[len(flt.changes)-1].Instance.ColdFor = 3 * time.Second
+		return flt.view()
+	}
+	sent := 0
+	for num := range 7 {
+		brd := newBoard(num)
+		vms := 7
+		if num == 0 {
+			vms = 0 // it sees no other VM yet
+		}
+		brd.Sync(cold(vms), start)
+		for now := start; now.Before(start.Add(time.Second)); now = now.Add(20 * time.Millisecond) {
+			if chc, ok := brd.Choose(query(1, now)); ok {
+				brd.Sent(chc.Instance.ID, now)
+				sent++
+			}
+		}
+	}
+	if sent == 0 || float64(sent) > bound {
+		t.Fatalf("%d requests in a second, allowed %v", sent, bound)
+	}
+	alone := newBoard(0)
+	alone.Sync(cold(0), start)
+	if _, ok := alone.Choose(query(1, start.Add(2900*time.Millisecond))); ok {
+		t.Fatal("a VM that does not know the others yet sends to a cold target")
+	}
+}
+
+// Guards against VMs that are forgotten with their entries although they are heard.
+func TestHeardVMsCount(t *testing.T) {
+	brd := newBoard(1)
+	brd.Sync(newFleet(1).view(), start)
+	brd.NoteHeard(7, start)
+	brd.Sync(newFleet(1).view(), start.Add(time.Minute))
+	if got := brd.VMs(start.Add(time.Minute)); got != 7 {
+		t.Fatalf("%d VMs, want 7", got)
+	}
+}
+
 // Guards against a shift of more objects between regions than the cap allows when targets come or go elsewhere.
 func TestRegionsShiftSlowly(t *testing.T) {
 	flt := newFleet(7).with("a-1", 1).with("a-2", 1).with("b-1", 5).with("b-2", 5).with("c-1", 5).with("c-2", 5)
--- a/internal/steer/place/state.go
+++ b/internal/steer/place/state.go
@@ -20,6 +20,9 @@
 	avoidMost  = 4 * time.Second
 	// avoidGone is the time for which an instance that is not at its address gets no requests. Its entry lapses within that time.
 	avoidGone = time.Minute
+	// acquaintance is the time after its start within which a VM may not know the others yet, when their entries have lapsed. It sends
+	// nothing to cold instances until it knows as many VMs as there are failure domains.
+	acquaintance = 3 * time.Second
 	// coldWindow is the span in which requests to a cold instance are counted.
 	coldWindow = time.Second
 )
