--- a/internal/steer/place/place.go
+++ b/internal/steer/place/place.go
@@ -115,10 +115,14 @@
 	brd.vms.note(max(count, len(brd.vew.VMs())), now)
 }
 
-// VMs returns the number of VMs among which common budgets are divided, at least 1.
+// VMs returns the number of VMs among which common budgets are divided, at least 1. A VM that has just started may not know the others
+// yet and takes them to be as many as there are failure domains.
 func (brd *Board) VMs(now time.Time) (count int) {
 	brd.mu.Lock()
 	defer brd.mu.Unlock()
+	if now.Sub(brd.started) < acquaintance {
+		return max(len(brd.cfg.Regions), brd.vms.count(now), 1)
+	}
 	return brd.vms.count(now)
 }
 
--- a/internal/steer/place/place_test.go
+++ b/internal/steer/place/place_test.go
@@ -231,6 +231,18 @@
 	}
 }
 
+// Guards against a VM that has just started and takes the whole common budget of repeats, because it sees no other VM yet.
+func TestVMsAfterAStart(t *testing.T) {
+	brd := newBoard(1)
+	brd.Sync(newFleet(1).view(), start)
+	if got := brd.VMs(start.Add(time.Second)); got != len(regions) {
+		t.Errorf("%d VMs a second after the start, want one for each failure domain", got)
+	}
+	if got := brd.VMs(start.Add(time.Minute)); got != 1 {
+		t.Errorf("%d VMs a minute after the start, want 1", got)
+	}
+}
+
 // Guards against VMs that are forgotten with their entries although they are heard.
 func TestHeardVMsCount(t *testing.T) {
 	brd := newBoard(1)
