proof: let targets leave that have run requests

That target is in region west, while the callers look up for east; it gets requests only when the first look-up is answered by a VM of west that does not know the others yet. Change: the two targets with the most runs leave, and the test fails when fewer than two have run anything. The check after the bound is the same.

--- a/internal/proof/users/users_test.go
+++ b/internal/proof/users/users_test.go
@@ -2,11 +2,13 @@
 package users_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -265,7 +267,7 @@
 	sit := newSite(t, 3, 6)
 	stop := sit.load()
 	time.Sleep(time.Second)
-	said, ended := sit.Targets[0], sit.Targets[1]
+	said, ended := sit.busiest()
 	sit.Register(said, "draining")
 	sit.Store.Delete("servers/" + ended.ID)
 	begin := time.Now()
@@ -275,15 +277,24 @@
 		if count := pfleet.RunsAfter(sit.callers.Sent(), tgt, begin.Add(pfleet.DrainBound)); count > 0 {
 			t.Errorf("%s ran %d requests after the bound", tgt.ID, count)
 		}
-		if len(tgt.Runs()) == 0 {
-			t.Errorf("%s never ran anything", tgt.ID)
-		}
 	}
 	if count := sit.check(); count[200] == 0 || count[502] > 0 {
 		t.Errorf("answers by status: %v", count)
 	}
 }
 
+// busiest returns the two targets that ran the most requests so far. Targets in a region without callers may have run none.
+func (sit *site) busiest() (one, two *pfleet.Target) {
+	sit.t.Helper()
+	list := slices.SortedFunc(slices.Values(sit.Targets), func(one, two *pfleet.Target) int {
+		return cmp.Compare(len(two.Runs()), len(one.Runs()))
+	})
+	if len(list[1].Runs()) == 0 {
+		sit.t.Fatal("fewer than two targets ran anything")
+	}
+	return list[0], list[1]
+}
+
 // Guards against targets that are dropped because their entries lapsed while the store was away.
 func TestEntriesThatLapse(t *testing.T) {
 	sit := newSite(t, 2, 4)
