place, send, view: remove state that nothing reads

Cause: the last read of a trail, whether a connection was kept, and when a table was learned were written and never read. Change: these fields are gone; behaviour is the same.

--- a/internal/edge/send/pool.go
+++ b/internal/edge/send/pool.go
@@ -20,7 +20,6 @@
 			break
 		}
 		if con.silent() {
-			con.reused = true
 			return con, nil
 		}
 		_ = con.Close()
--- a/internal/edge/send/send.go
+++ b/internal/edge/send/send.go
@@ -99,8 +99,6 @@
 	Header http.Header
 	Body   []byte
 	Stated cardamompass.Stated
-	// Reused is set when the request went on a kept connection.
-	Reused bool
 }
 
 // Config configures a Sender.
@@ -124,7 +122,6 @@
 	net.Conn
 	rdr    *bufio.Reader
 	usable time.Time // the connection must not be used after this time
-	reused bool
 }
 
 // New returns a Sender and the function that closes its idle connections.
@@ -245,7 +242,6 @@
 			Header: rsp.Header,
 			Body:   data,
 			Stated: std,
-			Reused: con.reused,
 		}, !rsp.Close, nil
 	}
 	return rep, false, &Failure{
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -30,8 +30,6 @@
 type View struct {
 	// Table is the routing table, nil until one is known.
 	Table *cardamompass.RoutingTable
-	// Learned is when Table came into force here.
-	Learned time.Time
 	// Revision is the store's revision up to which changes are contained.
 	Revision int64
 
@@ -138,7 +136,6 @@
 func (vew *View) clone() (next *View) {
 	next = &View{
 		Table:     vew.Table,
-		Learned:   vew.Learned,
 		Revision:  vew.Revision,
 		instances: maps.Clone(vew.instances),
 		missing:   maps.Clone(vew.missing),
@@ -160,7 +157,7 @@
 	switch {
 	case chg.Table != nil:
 		if vew.Table == nil || chg.Table.Version > vew.Table.Version {
-			vew.Table, vew.Learned = chg.Table, now
+			vew.Table = chg.Table
 		}
 	case chg.Instance != nil:
 		vew.instances[chg.Instance.ID] = *chg.Instance
--- a/internal/steer/place/choose.go
+++ b/internal/steer/place/choose.go
@@ -137,7 +137,6 @@
 // instance with room to spare; -1 if there is none.
 func (brd *Board) fastest(qry Query, ranked []candidate, rej *Rejected) (best int) {
 	trl := brd.trail(qry.Object)
-	trl.used = qry.Now
 	best = -1
 	for num := range ranked {
 		cnd := &ranked[num]
--- a/internal/steer/place/state.go
+++ b/internal/steer/place/state.go
@@ -145,7 +145,6 @@
 // trail remembers where this VM sent requests on an object.
 type trail struct {
 	steps [trailLength]step
-	used  time.Time
 }
 
 type step struct {
@@ -163,7 +162,6 @@
 )
 
 func (trl *trail) note(id cardamompass.InstanceID, now time.Time) {
-	trl.used = now
 	oldest := 0
 	for num := range trl.steps {
 		if trl.steps[num].ins == id {
