cast, node: do not append to the list of VMs that the view shares

Cause: peers of cast and running of node appended the heard VMs to the slice that view.VMs returns. With spare capacity in that slice two goroutines wrote to the same memory. Ruled out: the test itself. Its shared list stands for the view's, which look-ups and the exchange read at the same time. Change: slices.Concat, and a test that the memory behind the list stays as it was; it failed before the change.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -174,7 +175,7 @@
 // may lapse although it serves.
 func (nod *Node) running() (vms []cardamompass.VM) {
 	seen := make(map[cardamompass.VMID]bool)
-	for _, vmc := range append(nod.follower.View().VMs(), nod.caster.Running()...) {
+	for _, vmc := range slices.Concat(nod.follower.View().VMs(), nod.caster.Running()) {
 		if !seen[vmc.ID] && vmc.ID != nod.self.ID {
 			seen[vmc.ID] = true
 			vms = append(vms, vmc)
--- a/internal/fleet/cast/cast.go
+++ b/internal/fleet/cast/cast.go
@@ -11,6 +11,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,7 +76,7 @@
 // Config configures a Caster.
 type Config struct {
 	Self cardamompass.VM
-	// Listed returns the running VMs that the store knows.
+	// Listed returns the running VMs that the store knows. The slice may be shared; it is not changed.
 	Listed func() []cardamompass.VM
 	// Heard is told of the reports of another VM. It must not block.
 	Heard func(reports []Report)
@@ -244,7 +245,7 @@
 // peers returns the VMs that get a datagram: those of the own region first, since they use the same targets, then others by chance.
 func (cst *Caster) peers() (vms []cardamompass.VM) {
 	known := make(map[cardamompass.VMID]cardamompass.VM)
-	for _, vmc := range append(cst.cfg.Listed(), cst.Running()...) {
+	for _, vmc := range slices.Concat(cst.cfg.Listed(), cst.Running()) {
 		if vmc.ID != cst.cfg.Self.ID && vmc.PeerAddress != "" {
 			known[vmc.ID] = vmc
 		}
--- a/internal/fleet/cast/cast_test.go
+++ b/internal/fleet/cast/cast_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"cardamompass"
@@ -110,6 +111,52 @@
 	}
 }
 
+// Guards against writes into the list of the VMs' owner: appending the heard VMs to it overwrote what stood behind its end, which other
+// goroutines use at the same time.
+func TestListedVMsAreNotChanged(t *testing.T) {
+	lsn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := lsn.LocalAddr().String()
+	lsn.Close()
+	behind := cardamompass.VM{
+		ID: "behind",
+	}
+	listed := []cardamompass.VM{{ID: "vm-1"}, behind}
+	cst, stop, err := cast.New(cast.Config{
+		Self: cardamompass.VM{
+			ID:          "vm-1",
+			PeerAddress: address,
+		},
+		Listed: func() []cardamompass.VM { return listed[:1] },
+		Heard:  func([]cast.Report) {},
+		Clock:  cardamompass.SystemClock{},
+		Log:    zap.NewNop(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	con, err := net.Dial("udp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer con.Close()
+	data, err := msgpack.Marshal([]any{"vm-2", 1, "r", "d", "127.0.0.1:1", "127.0.0.1:2", false, []any{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err = con.Write(data); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "vm-2 heard", func() bool { return len(cst.Running()) == 1 })
+	cst.Stop() // sends a datagram to the listed and the heard VMs
+	if listed[1] != behind {
+		t.Fatalf("the list was changed: %+v", listed)
+	}
+}
+
 // Guards against a datagram of anybody that ends the exchange.
 func TestForeignDatagrams(t *testing.T) {
 	nodes := newNodes(t, "vm-1", "vm-2")
