cast: send datagrams to VMs in proportion to their capacity

Cause: a busy VM can afford one datagram of 30 loads every 100 ms. Two thirds of these went to VMs with narrow links, which get few requests since look-ups prefer the others, so loads were older than necessary where requests are. Change: the order of receivers is still by chance, weighted by their capacity.

--- a/internal/fleet/cast/cast.go
+++ b/internal/fleet/cast/cast.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -244,7 +245,8 @@
 	return dgr
 }
 
-// peers returns the VMs that get a datagram: those of the own region first, since they use the same targets, then others by chance.
+// peers returns the VMs that get a datagram: those of the own region first, since they use the same targets, then others. Within these a
+// VM comes earlier the more requests it can carry, by chance in that proportion, since loads are of use where requests are.
 func (cst *Caster) peers() (vms []cardamompass.VM) {
 	known := make(map[cardamompass.VMID]cardamompass.VM)
 	for _, vmc := range slices.Concat(cst.cfg.Listed(), cst.Running()) {
@@ -260,12 +262,20 @@
 			far = append(far, vmc)
 		}
 	}
-	rand.Shuffle(len(vms), func(one, two int) { vms[one], vms[two] = vms[two], vms[one] })
-	rand.Shuffle(len(far), func(one, two int) { far[one], far[two] = far[two], far[one] })
-	vms = append(vms, far...)
+	vms = append(shuffled(vms), shuffled(far)...)
 	return vms[:min(len(vms), maxPeers)]
 }
 
+// shuffled orders VMs by chance, each weighted by its capacity: the time until the first event of a random process of that rate.
+func shuffled(vms []cardamompass.VM) (out []cardamompass.VM) {
+	times := make(map[cardamompass.VMID]float64, len(vms))
+	for _, vmc := range vms {
+		times[vmc.ID] = rand.ExpFloat64() / max(1, vmc.Capacity)
+	}
+	slices.SortFunc(vms, func(one, two cardamompass.VM) int { return cmp.Compare(times[one.ID], times[two.ID]) })
+	return vms
+}
+
 // receive takes datagrams until the connection is closed.
 func (cst *Caster) receive() {
 	buf := make([]byte, maxDatagram)
