front: take a repeat from the budget only when there is a target for it

Cause: repeats and second copies were counted before a target was chosen. In bursts second targets have no room to spare, so the budget was used up by requests that were never sent again, and later ones had none. Ruled out: giving a repeat back after a failed choice; the choice comes first more simply. Change: launch takes the repeat after the choice. A test with one target failed before: the first request after a second target had come ran once, now twice.

--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -272,6 +272,25 @@
 	}
 }
 
+// Guards against a budget of repeats that is used up by requests for which there is no second target.
+func TestRepeatsWithoutATargetCostNothing(t *testing.T) {
+	sit := newSite(t, 2)
+	second, _ := sit.view().Instance("i-1")
+	sit.apply(cardamompass.Change{InstanceGone: "i-1"})
+	sit.set(ptarg.FaultError)
+	const more = 40 // above the 28 repeats that may be taken at once
+	for num := range more {
+		sit.send("/read/a", fmt.Sprintf("r-%d", num))
+	}
+	if sit.runs() != more {
+		t.Fatalf("%d runs of %d requests with one target", sit.runs(), more)
+	}
+	sit.apply(cardamompass.Change{Instance: &second})
+	if sit.send("/read/a", "r-last"); sit.runs() != more+2 {
+		t.Fatalf("%d runs of the last request, want 2", sit.runs()-more)
+	}
+}
+
 // Guards against a refusal or a failure while another target could run a request that reached nobody.
 func TestTargetThatIsNotThere(t *testing.T) {
 	for _, path := range []string{"/read/a", "/write/a"} {
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -100,7 +100,8 @@
 	return rep, atm.err
 }
 
-// launch chooses a target and starts to send.
+// launch chooses a target and starts to send. What is sent beyond the first time is taken from the budget of repeats, once there is a
+// target for it.
 func (run *job) launch(ctx context.Context, results chan<- *attempt, spare bool) (atm *attempt, err error) {
 	frt := run.exc.frt
 	now := frt.cfg.Clock.Now()
@@ -116,6 +117,10 @@
 	if !ok {
 		return nil, errors.Errorf("no target of %s can be used: %+v", run.exc.service, chc.Rejected)
 	}
+	if (spare || run.sent > 0) && !frt.retries(run.exc.service).TakeExtra(now) {
+		run.exc.log.Info("repeat not allowed", zap.Bool("second", spare), zap.String("reason", "budget"))
+		return nil, errors.New("the budget of repeats is used up")
+	}
 	frt.cfg.Board.Sent(chc.Instance.ID, now)
 	run.tried = append(run.tried, chc.Instance.ID)
 	sctx, cancel := context.WithDeadline(ctx, run.msg.Deadline)
@@ -196,10 +201,6 @@
 	if run.unsent >= maxUnsent || run.sent >= run.exc.route.MaxTargets {
 		return false
 	}
-	if run.sent > 0 && !frt.retries(run.exc.service).TakeExtra(now) {
-		run.exc.log.Info("repeat not allowed", zap.String("reason", "budget"))
-		return false
-	}
 	return true
 }
 
--- a/internal/edge/front/share.go
+++ b/internal/edge/front/share.go
@@ -84,7 +84,7 @@
 	frt := run.exc.frt
 	now := frt.cfg.Clock.Now()
 	return run.exc.route.Idempotent && len(run.tried) < run.exc.route.MaxTargets &&
-		run.msg.Deadline.Sub(now) >= leastTime && frt.retries(run.exc.service).TakeExtra(now)
+		run.msg.Deadline.Sub(now) >= leastTime
 }
 
 // split divides the requests of a route among its parts exactly by weight.
