guard: keep suspects of different entry VMs off the same target

A VM sees its own suspects only. Also a claim that was given back unsent counted as in flight for two seconds and could be accused. Change: one VM, the first in the target's rendezvous order, grants a target to the suspects of one VM at a time. A claim that is given back is withdrawn without a trace.

--- a/internal/edge/engine/claim.go
+++ b/internal/edge/engine/claim.go
@@ -17,9 +17,11 @@
 	reason  string
 	token   health.Token
 	release func()
-	suspect bool
-	hedge   bool
-	began   time.Time
+	// unreserve ends the reservation of the target of a suspect.
+	unreserve func()
+	suspect   bool
+	hedge     bool
+	began     time.Time
 	// lost is set when the attempt is cancelled because its hedge was answered first.
 	lost atomic.Bool
 }
@@ -150,14 +152,14 @@
 	}
 	tok, ok := cfg.Tracker.BeginWithin(cnd, now)
 	if !ok {
-		cfg.Guard.Ended(rqt.key, cnd.Target, now)
+		cfg.Guard.Withdrawn(rqt.key, cnd.Target)
 		return nil, false
 	}
 	if cnd.NeedsShift {
 		rte := cfg.Pool.Rate(share.ShiftName(rqt.req.Service, rqt.req.CallerRegion, cnd.Region))
 		if !rte.Allow(1, rqt.sta.svc.Class) {
 			cfg.Tracker.Done(tok, now, health.Cancelled)
-			cfg.Guard.Ended(rqt.key, cnd.Target, now)
+			cfg.Guard.Withdrawn(rqt.key, cnd.Target)
 			return nil, false
 		}
 	}
@@ -172,8 +174,7 @@
 
 // drop gives a claim back of which no attempt was made.
 func (rqt *request) drop(clm *claim) {
-	now := rqt.eng.cfg.Clock.Now()
-	rqt.eng.cfg.Guard.Ended(rqt.key, clm.target.ID, now)
+	rqt.eng.cfg.Guard.Withdrawn(rqt.key, clm.target.ID)
 	rqt.finish(clm, health.Cancelled)
 }
 
@@ -181,5 +182,8 @@
 func (rqt *request) finish(clm *claim, res health.Result) {
 	rqt.eng.cfg.Tracker.Done(clm.token, rqt.eng.cfg.Clock.Now(), res)
 	clm.release()
+	if clm.unreserve != nil {
+		clm.unreserve()
+	}
 	rqt.sta.queue.Released()
 }
--- a/internal/edge/engine/engine.go
+++ b/internal/edge/engine/engine.go
@@ -52,6 +52,9 @@
 	Pool    *share.Pool
 	// Report tells all other entry VMs what the guard found, and returns when they have answered or its own timeout ends.
 	Report func(ctx context.Context, rep guard.Report)
+	// Reserve asks for a target for a suspect of the guard, so that suspects of other entry VMs do not run there for the time left. Nil
+	// grants every target.
+	Reserve func(ctx context.Context, tid cardamompass.TargetID, left time.Duration) (release func(), ok bool)
 	// Recent keeps the decisions for the state dump.
 	Recent *dump.Recent
 	// HedgePercent and RetryPercent are the budgets in percent of requests.
@@ -102,6 +105,11 @@
 	if cfg.QueueLength == 0 {
 		cfg.QueueLength = defaultQueueLength
 	}
+	if cfg.Reserve == nil {
+		cfg.Reserve = func(context.Context, cardamompass.TargetID, time.Duration) (release func(), ok bool) {
+			return func() {}, true
+		}
+	}
 	queues, stopQueues := queue.NewSet(cfg.Clock)
 	eng = &Engine{
 		cfg:     cfg,
--- a/internal/edge/engine/execute.go
+++ b/internal/edge/engine/execute.go
@@ -24,6 +24,10 @@
 // within a service time, so that a second try only after a whole delay leaves attempts on stragglers for several delays.
 const hedgeTries = 8
 
+// reservePause is the time after which a suspect asks again for a target that is reserved for another entry VM. The other
+// suspect ends within a service time.
+const reservePause = 10 * time.Millisecond
+
 // Execute runs a request on a target and returns its answer, which the caller must close.
 func (eng *Engine) Execute(ctx context.Context, req cardamompass.Request) (ans cardamompass.Answer, err error) {
 	if _, err := eng.Service(req.Service); err != nil {
@@ -70,7 +74,7 @@
 // run makes attempts until one is answered or no further one is allowed.
 func (rqt *request) run(ctx context.Context, rec *dump.Decision) (ans cardamompass.Answer, err error) {
 	for num := 0; ; num++ {
-		clm, err := rqt.wait(ctx)
+		clm, err := rqt.claim(ctx)
 		if err != nil {
 			return ans, rqt.refusal(err)
 		}
@@ -109,6 +113,33 @@
 	}
 }
 
+// claim returns a claim for the next attempt. A suspect also has its target reserved among all entry VMs. Errors: NotRunError.
+func (rqt *request) claim(ctx context.Context) (clm *claim, err error) {
+	for {
+		clm, err = rqt.wait(ctx)
+		if err != nil || !clm.suspect || rqt.reserve(ctx, clm) {
+			return clm, err
+		}
+		rqt.tried = rqt.tried[:len(rqt.tried)-1] // no attempt was made
+		rqt.drop(clm)
+		tmr := rqt.eng.cfg.Clock.NewTimer(reservePause)
+		select {
+		case <-ctx.Done():
+		case <-tmr.C():
+		}
+		tmr.Stop()
+	}
+}
+
+// reserve reserves the target of a suspect's claim.
+func (rqt *request) reserve(ctx context.Context, clm *claim) (ok bool) {
+	release, ok := rqt.eng.cfg.Reserve(ctx, clm.target.ID, rqt.req.Deadline.Sub(rqt.eng.cfg.Clock.Now()))
+	if ok {
+		clm.unreserve = release
+	}
+	return ok
+}
+
 // wait queues the request until it has a claim. Errors: NotRunError.
 func (rqt *request) wait(ctx context.Context) (clm *claim, err error) {
 	fit := string(rqt.req.CallerRegion)
--- a/internal/edge/entry/entry.go
+++ b/internal/edge/entry/entry.go
@@ -74,6 +74,7 @@
 	tracker  *health.Tracker
 	prober   *health.Prober
 	guard    *guard.Guard
+	arbiter  *guard.Arbiter
 	engine   *engine.Engine
 	opers    *oper.Service
 	table    *oper.Table
@@ -277,6 +278,7 @@
 		Incarnation: prc.vm.Incarnation,
 		Life:        set.Guard.BlockTime,
 	})
+	prc.arbiter = guard.NewArbiter()
 	rly, stop, err := relay.New(relay.Config{
 		Clock: prc.cfg.Clock,
 		Draining: func(tid cardamompass.TargetID) {
@@ -297,6 +299,7 @@
 		Guard:        prc.guard,
 		Pool:         prc.pool,
 		Report:       prc.reportSuspects,
+		Reserve:      prc.reserve,
 		Recent:       prc.recent,
 		Members:      prc.members,
 		HedgePercent: set.Steering.HedgePercent,
--- a/internal/steer/guard/guard.go
+++ b/internal/steer/guard/guard.go
@@ -12,8 +12,8 @@
 //
 // Limits: memory is bounded by Config.MaxRecords; when that many contents are suspects or blocked, the oldest suspect,
 // or else the block that ends first, is forgotten and may crash two more targets. A content that crashes only some of
-// its runs is cleared by each run that succeeds. Suspects of different VMs may meet on one target; if it crashes, both
-// are blocked, unless one of them was answered since its first crash.
+// its runs is cleared by each run that succeeds. An Arbiter keeps suspects of different VMs off the same target; where VMs do
+// not reach it, they may meet, and if the target crashes, both are blocked, unless one was answered since its first crash.
 //
 // A Guard is safe for concurrent use. It does no I/O and reads no clock.
 package guard
@@ -53,7 +53,7 @@
 type Action uint8
 
 const (
-	// Run lets the request run on the target. It counts as in flight until Succeeded, Ended or Crashed.
+	// Run lets the request run on the target. It counts as in flight until Succeeded, Ended, Withdrawn or Crashed.
 	Run Action = iota
 	// WaitCopy asks to wait until another copy of the suspect has ended.
 	WaitCopy
@@ -183,6 +183,13 @@
 	grd.sta.ended(key, tid, now)
 }
 
+// Withdrawn ends a run of which nothing was sent to the target. It does not count when the target crashes.
+func (grd *Guard) Withdrawn(key Key, tid cardamompass.TargetID) {
+	grd.mut.Lock()
+	defer grd.mut.Unlock()
+	grd.sta.withdrawn(key, tid)
+}
+
 // Crashed records that the target crashed: a connection broke before its answer at the time broke, and a new one was
 // refused. The contents in flight are those that were admitted up to that time and have no answer. Runs that began
 // later are not touched, so that several connections may report one crash. The report must be sent to all peers before
--- a/internal/steer/guard/state.go
+++ b/internal/steer/guard/state.go
@@ -134,6 +134,20 @@
 	}))
 }
 
+func (sta *state) withdrawn(key Key, tid cardamompass.TargetID) {
+	pos := -1
+	for num, one := range sta.runs[tid] {
+		if one.key == key && one.ended.IsZero() {
+			pos = num // the newest one, since the older ones may have been sent
+		}
+	}
+	if pos < 0 {
+		return
+	}
+	sta.release(key)
+	sta.setRuns(tid, slices.Delete(sta.runs[tid], pos, pos+1))
+}
+
 func (sta *state) release(key Key) {
 	if sta.copies[key]--; sta.copies[key] <= 0 {
 		delete(sta.copies, key)
