--- a/internal/fleet/cast/cast_test.go
+++ b/internal/fleet/cast/cast_test.go
@@ -1,6 +1,7 @@
 package cast_test
 
 import (
+	"fmt"
 	"net"
 	"slices"
 	"sync"
@@ -35,19 +36,27 @@
 	return slices.Clone(nod.reports)
 }
 
+// newNodes returns running VMs of these names.
 func newNodes(t *testing.T, names ...string) (nodes []*node) {
 	t.Helper()
-	var all []cardamompass.VM
+	var vms []cardamompass.VM
 	for _, name := range names {
+		vms = append(vms, cardamompass.VM{ID: cardamompass.VMID(name)})
+	}
+	return newNodesOf(t, vms...)
+}
+
+// newNodesOf returns running VMs in one region, each with an address of its own.
+func newNodesOf(t *testing.T, vms ...cardamompass.VM) (nodes []*node) {
+	t.Helper()
+	var all []cardamompass.VM
+	for _, vmc := range vms {
 		lsn, err := net.ListenPacket("udp4", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		vmc := cardamompass.VM{
-			ID:          cardamompass.VMID(name),
-			Region:      "r",
-			PeerAddress: lsn.LocalAddr().String(),
-		}
+		vmc.Region = "r"
+		vmc.PeerAddress = lsn.LocalAddr().String()
 		lsn.Close()
 		all = append(all, vmc)
 		nodes = append(nodes, &node{self: vmc})
@@ -157,6 +166,22 @@
 	}
 }
 
+// Guards against loads that go to VMs with few requests as often as to those with many: a busy VM can afford one full datagram at a time.
+func TestStrongVMsHearMore(t *testing.T) {
+	const rounds = 30
+	nodes := newNodesOf(t, cardamompass.VM{ID: "vm-1"}, cardamompass.VM{ID: "vm-2", Capacity: 1000}, cardamompass.VM{ID: "vm-3", Capacity: 1})
+	for round := range rounds {
+		for num := range 30 {
+			nodes[0].Note(cardamompass.InstanceID(fmt.Sprintf("i-%d-%d", round, num)), cardamompass.Load{Slots: 6, Slowness: 1})
+		}
+		time.Sleep(cast.Interval)
+	}
+	await(t, "loads at the strong VM", func() bool { return len(nodes[1].got()) > 0 })
+	if strong, weak := len(nodes[1].got()), len(nodes[2].got()); weak > strong/2 {
+		t.Fatalf("%d loads at the strong VM, %d at the weak one", strong, weak)
+	}
+}
+
 // Guards against a datagram of anybody that ends the exchange.
 func TestForeignDatagrams(t *testing.T) {
 	nodes := newNodes(t, "vm-1", "vm-2")
--- a/vm_test.go
+++ b/vm_test.go
@@ -1,6 +1,7 @@
 package cardamompass_test
 
 import (
+	"math"
 	"testing"
 
 	"cardamompass"
@@ -27,3 +28,27 @@
 		})
 	}
 }
+
+// Guards against a capacity that ignores the narrower of processor and link, or is made up where one of them is not known.
+func TestCapacity(t *testing.T) {
+	tests := []struct {
+		name  string
+		cores float64
+		bits  float64
+		want  float64
+	}{
+		{"narrow link", 0.8, 20e6, 20e6 / (8 * 16 << 10)},
+		{"small processor", 0.32, 1e9, 800},
+		{"no link known", 0.8, 0, 0},
+		{"no processor known", 0, 1e9, 0},
+	}
+	for _, tst := range tests {
+		set := cardamompass.VMSettings{
+			Cores:    tst.cores,
+			LinkBits: tst.bits,
+		}
+		if got := set.Capacity(); math.Abs(got-tst.want) > 1e-6 {
+			t.Errorf("%s: %v requests a second, want %v", tst.name, got, tst.want)
+		}
+	}
+}
