--- a/cmd/cardamompass/main.go
+++ b/cmd/cardamompass/main.go
@@ -24,6 +24,7 @@
 	Request   RequestCmd   `cmd:"" help:"Send a request as a caller does."`
 	Dump      DumpCmd      `cmd:"" help:"Show the state of entry VMs."`
 	Bench     BenchCmd     `cmd:"" help:"Measure the steering under load, against the naive baseline."`
+	Rounds    RoundsCmd    `cmd:"" help:"Show the scores in the journal of the users' bench."`
 	Version   VersionCmd   `cmd:"" help:"Show the program's version."`
 }
 
--- /dev/null
+++ b/internal/load/rounds/rounds_test.go
@@ -0,0 +1,70 @@
+package rounds_test
+
+import (
+	"bytes"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"cardamompass/internal/load/rounds"
+)
+
+func journal(t *testing.T, files map[string]string) (dir string) {
+	t.Helper()
+	dir = t.TempDir()
+	for name, text := range files {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return dir
+}
+
+const days = `"days":[{"name":"quiet-1","G":0.7,"top":0.6},{"name":"scale-1","G":0.5,"top":0.4},{"name":"fresh-1","G":0.1,"top":0.9}]`
+
+// Guards against figures that do not compare: days drawn anew, runs of single days, and scores out of order.
+func TestRead(t *testing.T) {
+	dir := journal(t, map[string]string{
+		"1.json":    `{"cmd":"score","at":["2026-12-04T10:00:00Z","2026-12-04T10:01:00Z"],"site":"b","why":"later",` + days + `}`,
+		"2.json":    `{"cmd":"score","at":["2026-12-04T09:00:00Z"],"site":"a","why":"sooner",` + days + `}`,
+		"3.json":    `{"cmd":"hunt","at":["2026-12-04T09:00:00Z"],"site":"a",` + days + `}`,
+		"4.json":    `{"cmd":"score","at":["2026-12-04T09:00:00Z"],"site":"a","days":[]}`,
+		"notes.txt": `no entry`,
+	})
+	rds, err := rounds.Read(dir)
+	if err != nil || len(rds) != 2 || rds[0].Why != "sooner" || rds[1].Why != "later" {
+		t.Fatalf("rounds %+v, error %v", rds, err)
+	}
+	if rnd := rds[0]; rnd.Days != 2 || math.Abs(rnd.Worth-0.6) > 1e-9 || math.Abs(rnd.Mark-0.5) > 1e-9 {
+		t.Fatalf("round %+v", rnd)
+	}
+	if sites := rounds.Sites(rds); len(sites) != 2 || sites[0] != "a" {
+		t.Fatalf("sites %v", sites)
+	}
+}
+
+// Guards against a broken file that is passed over in silence.
+func TestBrokenEntryIsNamed(t *testing.T) {
+	_, err := rounds.Read(journal(t, map[string]string{"bad.json": `{"cmd":`}))
+	if err == nil || !strings.Contains(err.Error(), "bad.json") {
+		t.Fatalf("error %v", err)
+	}
+}
+
+// Guards against a plot that is not written, or written of nothing.
+func TestWritePlot(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "worth.png")
+	if err := rounds.WritePlot(nil, path); err == nil {
+		t.Fatal("no error without scores")
+	}
+	rds := []rounds.Round{{Site: "a", Worth: 0.5, Mark: 0.4, Days: 6}, {Site: "a", Worth: 0.6, Mark: 0.4, Days: 6}}
+	if err := rounds.WritePlot(rds, path); err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil || !bytes.HasPrefix(data, []byte("\x89PNG")) {
+		t.Fatalf("%d bytes, error %v", len(data), err)
+	}
+}
