front: send nothing for callers that left before their request was read

After a power loss of 0.6 of the VMs a returned VM is busy for more than a second, callers give up requests that are not read after a second, and the VM then reads and sends them: net/http cancels the context of a request only some time after its handler has begun. Ruled out: the bound on unread connections (none at this level); look-ups that name fewer VMs as the only cause, since the order of events is possible with any busy VM. Change: before each sending the front looks at the caller's connection without taking bytes from it, and gives the request up when the stream has ended.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -221,7 +221,7 @@
 	switch {
 	case err == nil:
 		exc.answer(rep, run)
-	case exc.req.Context().Err() != nil:
+	case exc.req.Context().Err() != nil || errors.Is(err, errCallerLeft):
 		exc.finish("caller-left", 0, run, err)
 		panic(http.ErrAbortHandler)
 	default:
--- a/internal/edge/front/job.go
+++ b/internal/edge/front/job.go
@@ -103,6 +103,13 @@
 // launch chooses a target and starts to send. What is sent beyond the first time is taken from the budget of repeats, once there is a
 // target for it.
 func (run *job) launch(ctx context.Context, results chan<- *attempt, spare bool) (atm *attempt, err error) {
+	if callerLeft(run.exc.req.Context()) {
+		return nil, &send.Failure{
+			Kind:   send.KindCancelled,
+			NotRun: run.sent == 0,
+			Err:    errCallerLeft,
+		}
+	}
 	frt := run.exc.frt
 	now := frt.cfg.Clock.Now()
 	chc, ok := frt.cfg.Board.Choose(place.Query{
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -280,6 +280,7 @@
 		ReadHeaderTimeout: lim.HeaderTimeout,
 		IdleTimeout:       lim.IdleTimeout,
 		MaxHeaderBytes:    lim.MaxHeaderBytes,
+		ConnContext:       front.ConnContext,
 		ErrorLog:          zap.NewStdLog(nod.cfg.Log),
 	}
 	nod.servers = append(nod.servers, srv)
