view, cast: list the running VMs once a view, and join them with the heard ones in one place

Cause: View.VMs sorted all VMs anew on each call: for each cold candidate of a choice, each datagram, each look-up. peers of cast and running of node joined the listed and the heard VMs each in their own way. Change: the list is made with the other indexes of a view, and Caster.Others serves look-ups, gauges and datagrams.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -7,7 +7,6 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -172,19 +171,6 @@
 	}
 }
 
-// running returns the other VMs that serve: those that the store names and those that were heard a short time ago, since the entry of a VM
-// may lapse although it serves.
-func (nod *Node) running() (vms []cardamompass.VM) {
-	seen := make(map[cardamompass.VMID]bool)
-	for _, vmc := range slices.Concat(nod.follower.View().VMs(), nod.caster.Running()) {
-		if !seen[vmc.ID] && vmc.ID != nod.self.ID {
-			seen[vmc.ID] = true
-			vms = append(vms, vmc)
-		}
-	}
-	return vms
-}
-
 // own registers the clean-up function of a part.
 func own[T any](nod *Node, start func() (T, func())) (part T) {
 	part, cleanup := start()
@@ -242,7 +228,7 @@
 	lookups := direct.New(direct.Config{
 		Self:     nod.self,
 		Protocol: nod.cfg.Protocol,
-		Others:   nod.running,
+		Others:   nod.caster.Others,
 		Stopping: nod.stopping.Load,
 		MaxTTL:   set.MaxLookupTTL,
 		Log:      nod.cfg.Log,
--- a/internal/fleet/cast/cast.go
+++ b/internal/fleet/cast/cast.go
@@ -167,6 +167,19 @@
 	return vms
 }
 
+// Others returns the other VMs that serve: those that the store names and those that were heard a short time ago, since the entry of a VM
+// may lapse although it serves.
+func (cst *Caster) Others() (vms []cardamompass.VM) {
+	seen := map[cardamompass.VMID]bool{cst.cfg.Self.ID: true}
+	for _, vmc := range slices.Concat(cst.cfg.Listed(), cst.Running()) {
+		if !seen[vmc.ID] {
+			seen[vmc.ID] = true
+			vms = append(vms, vmc)
+		}
+	}
+	return vms
+}
+
 func (cst *Caster) send(ctx context.Context) {
 	tck := time.NewTicker(Interval)
 	defer tck.Stop()
@@ -248,17 +261,13 @@
 // peers returns the VMs that get a datagram: those of the own region first, since they use the same targets, then others. Within these a
 // VM comes earlier the more requests it can carry, by chance in that proportion, since loads are of use where requests are.
 func (cst *Caster) peers() (vms []cardamompass.VM) {
-	known := make(map[cardamompass.VMID]cardamompass.VM)
-	for _, vmc := range slices.Concat(cst.cfg.Listed(), cst.Running()) {
-		if vmc.ID != cst.cfg.Self.ID && vmc.PeerAddress != "" {
-			known[vmc.ID] = vmc
-		}
-	}
 	var far []cardamompass.VM
-	for _, vmc := range known {
-		if vmc.Region == cst.cfg.Self.Region {
+	for _, vmc := range cst.Others() {
+		switch {
+		case vmc.PeerAddress == "":
+		case vmc.Region == cst.cfg.Self.Region:
 			vms = append(vms, vmc)
-		} else {
+		default:
 			far = append(far, vmc)
 		}
 	}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -40,6 +40,7 @@
 	crashes   map[cardamompass.Crash]bool
 	crashed   map[string]int // instances by fingerprint
 	services  map[cardamompass.ServiceName][]cardamompass.Instance
+	running   []cardamompass.VM // vms in the order of their ids
 }
 
 // Empty returns a View of nothing.
@@ -64,12 +65,8 @@
 // Evacuated reports whether the targets of a failure domain are to get no requests.
 func (vew *View) Evacuated(dom cardamompass.FailureDomain) bool { return vew.evacuated[dom] }
 
-// VMs returns the running VMs in the order of their ids.
-func (vew *View) VMs() (list []cardamompass.VM) {
-	return slices.SortedFunc(maps.Values(vew.vms), func(one, two cardamompass.VM) int {
-		return strings.Compare(string(one.ID), string(two.ID))
-	})
-}
+// VMs returns the running VMs in the order of their ids. Callers must not modify the result.
+func (vew *View) VMs() (list []cardamompass.VM) { return vew.running }
 
 // VM returns the entry of a running VM.
 func (vew *View) VM(id cardamompass.VMID) (vmc cardamompass.VM, ok bool) {
@@ -208,6 +205,9 @@
 	for _, ins := range vew.instances {
 		vew.services[ins.Service] = append(vew.services[ins.Service], ins)
 	}
+	vew.running = slices.SortedFunc(maps.Values(vew.vms), func(one, two cardamompass.VM) int {
+		return strings.Compare(string(one.ID), string(two.ID))
+	})
 	vew.crashed = make(map[string]int)
 	for crs := range vew.crashes {
 		vew.crashed[crs.Fingerprint]++
