clock: one Sleep in place of four copies

Cause: waiting for a time or the end of a context stood four times: in share, in entry, in view, and again in engine with the last change. Ruled out: the loops that also wait for other channels, and the stand-ins, whose pauses end by a channel. Change: cardamompass.Sleep, with the error of share's copy. Behaviour stays. Measured: the tests of the four packages pass under -race; no figure is expected to move.

--- a/clock.go
+++ b/clock.go
@@ -1,6 +1,9 @@
 package cardamompass
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Clock tells the time and makes timers. Tests replace it, so that no verdict depends on a sleep.
 // Implementations are safe for concurrent use.
@@ -19,6 +22,18 @@
 	Stop() bool
 }
 
+// Sleep waits for d on a clock or for the end of ctx, whichever comes first, and returns the error of ctx in the second case.
+func Sleep(ctx context.Context, clk Clock, d time.Duration) (err error) {
+	tmr := clk.NewTimer(d)
+	defer tmr.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-tmr.C():
+		return nil
+	}
+}
+
 // SystemClock is the Clock of the operating system.
 type SystemClock struct{}
 
--- a/internal/edge/engine/execute.go
+++ b/internal/edge/engine/execute.go
@@ -122,12 +122,7 @@
 		}
 		rqt.tried = rqt.tried[:len(rqt.tried)-1] // no attempt was made
 		rqt.drop(clm)
-		tmr := rqt.eng.cfg.Clock.NewTimer(reservePause)
-		select {
-		case <-ctx.Done():
-		case <-tmr.C():
-		}
-		tmr.Stop()
+		_ = cardamompass.Sleep(ctx, rqt.eng.cfg.Clock, reservePause) // wait notices the end of ctx
 	}
 }
 
--- a/internal/edge/entry/stop.go
+++ b/internal/edge/entry/stop.go
@@ -27,7 +27,7 @@
 	prc.pool.StopLending()
 	prc.refreshLookups()
 	// An answer that names this VM may be given until the announcement is everywhere, and is used for its max-age after that.
-	prc.sleep(ctx, prc.cfg.Settings.LookupMaxAge+announceTime)
+	_ = cardamompass.Sleep(ctx, prc.cfg.Clock, prc.cfg.Settings.LookupMaxAge+announceTime) // a stop that must hurry goes on
 	successor, ok := prc.successor()
 	if ok {
 		if herr := prc.opers.HandOver(ctx, successor, operationDrain); herr != nil {
@@ -47,15 +47,6 @@
 	return err
 }
 
-func (prc *Process) sleep(ctx context.Context, d time.Duration) {
-	tmr := prc.cfg.Clock.NewTimer(d)
-	defer tmr.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tmr.C():
-	}
-}
-
 // successor returns the VM that takes over this VM's operation records: an alive one, of the same region if there is one,
 // and there of another failure domain if there is one.
 func (prc *Process) successor() (vmr cardamompass.VM, ok bool) {
--- a/internal/fleet/share/pool.go
+++ b/internal/fleet/share/pool.go
@@ -198,18 +198,6 @@
 
 func (pol *Pool) leaseEnds() time.Time { return pol.lease.Load().ends }
 
-// pause waits for d or the end of ctx, whichever comes first.
-func (pol *Pool) pause(ctx context.Context, d time.Duration) (err error) {
-	tmr := pol.cfg.Clock.NewTimer(d)
-	defer tmr.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-tmr.C():
-		return nil
-	}
-}
-
 // runVisits keeps the lease, visits every ledger now and then, and those soon that are divided unevenly.
 func (pol *Pool) runVisits(ctx context.Context) {
 	pol.Visit(ctx)
--- a/internal/fleet/share/service.go
+++ b/internal/fleet/share/service.go
@@ -122,7 +122,7 @@
 
 // runLoans borrows while there is demand, renews loans and returns those that are not needed.
 func (pol *Pool) runLoans(ctx context.Context) {
-	for pol.pause(ctx, borrowInterval) == nil {
+	for cardamompass.Sleep(ctx, pol.cfg.Clock, borrowInterval) == nil {
 		pol.BorrowRound(ctx)
 	}
 }
--- a/internal/fleet/share/use.go
+++ b/internal/fleet/share/use.go
@@ -59,7 +59,7 @@
 			num -= piece
 			continue
 		}
-		if err := rte.pol.pause(ctx, pollInterval); err != nil {
+		if err := cardamompass.Sleep(ctx, rte.pol.cfg.Clock, pollInterval); err != nil {
 			return err
 		}
 	}
--- a/internal/fleet/share/visit.go
+++ b/internal/fleet/share/visit.go
@@ -27,7 +27,7 @@
 			return err
 		}
 		// Visitors that lost a race come back at different times.
-		if err := pol.pause(ctx, time.Duration(pol.cfg.Random(int64(20*time.Millisecond)))); err != nil {
+		if err := cardamompass.Sleep(ctx, pol.cfg.Clock, time.Duration(pol.cfg.Random(int64(20*time.Millisecond)))); err != nil {
 			return err
 		}
 	}
--- a/internal/fleet/view/follow.go
+++ b/internal/fleet/view/follow.go
@@ -172,7 +172,8 @@
 		return
 	}
 	flw.publish(flw.View().With(ftc.chs, ftc.revision, flw.out, now))
-	flw.sleep(ctx, min(batchMost, max(batchLeast, batchWait*time.Duration(len(flw.View().vms)))))
+	pause := min(batchMost, max(batchLeast, batchWait*time.Duration(len(flw.View().vms))))
+	_ = cardamompass.Sleep(ctx, flw.cfg.Clock, pause) // run notices the end of ctx
 }
 
 // answered notes that the store answered, which ends an outage, and returns the time.
@@ -199,19 +200,10 @@
 		flw.cfg.Log.Warn("store lost", zap.Error(err), zap.Duration("age", flw.Age()))
 	}
 	flw.out.Lasts = true
-	flw.sleep(ctx, flw.pause)
+	_ = cardamompass.Sleep(ctx, flw.cfg.Clock, flw.pause) // run notices the end of ctx
 	flw.pause = min(2*flw.pause, retryMost)
 }
 
-func (flw *Follower) sleep(ctx context.Context, dur time.Duration) {
-	tmr := flw.cfg.Clock.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tmr.C():
-	}
-}
-
 func (flw *Follower) publish(next *View) {
 	old := flw.View()
 	flw.current.Store(next)
