platform, place: remove what nothing reads

Cause: Stated.Instance and Stated.ColdFor were decoded from each answer and never read; coldRoom had a branch for instances that are not cold, which its only caller excludes. Ruled out: a use of Cold-Ms; the registrations say how long an instance is cold. Behaviour stays.

--- a/internal/steer/place/state.go
+++ b/internal/steer/place/state.go
@@ -96,12 +96,8 @@
 	return 1 + (sta.load.Slowness-1)*fade(now.Sub(sta.loadAt), slownessMemory)
 }
 
-// coldRoom reports whether a cold instance may get one more request from this VM within the last second's quota.
+// coldRoom reports whether an instance that is cold may get one more request from this VM within the last second's quota.
 func (sta *state) coldRoom(quota int, now time.Time) (ok bool) {
-	if !now.Before(sta.coldUntil) {
-		sta.coldSent = nil
-		return true
-	}
 	kept := sta.coldSent[:0]
 	for _, tim := range sta.coldSent {
 		if now.Sub(tim) <= coldWindow {
--- a/protocol.go
+++ b/protocol.go
@@ -30,10 +30,6 @@
 	Transformed bool
 	// Load is the target's load; nil if it did not say.
 	Load *Load
-	// Instance is the instance that answers; empty if it did not say.
-	Instance InstanceID
-	// ColdFor is how long the instance stays cold.
-	ColdFor time.Duration
 }
 
 // Lookup is a caller's question which entry VMs to use.
