--- a/internal/stand/pstore/calls.go
+++ b/internal/stand/pstore/calls.go
@@ -1,13 +1,14 @@
 package pstore
 
 import (
-	"encoding/json"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"cardamompass/internal/stand/ctrl"
 )
 
 func (sto *Store) get(wrt http.ResponseWriter, req *http.Request) {
@@ -18,7 +19,7 @@
 		wrt.WriteHeader(http.StatusNotFound)
 		return
 	}
-	answer(wrt, http.StatusOK, struct {
+	ctrl.WriteJSON(wrt, http.StatusOK, struct {
 		item
 		CurrentRev int64 `json:"currentRev"`
 	}{
@@ -47,7 +48,7 @@
 	if len(page.Items) > pageItems {
 		page.Items, page.HasMore = page.Items[:pageItems], true
 	}
-	answer(wrt, http.StatusOK, page)
+	ctrl.WriteJSON(wrt, http.StatusOK, page)
 }
 
 func (sto *Store) watch(wrt http.ResponseWriter, req *http.Request) {
@@ -59,7 +60,7 @@
 		sto.mu.Lock()
 		if sto.faults.Outage {
 			sto.mu.Unlock()
-			panic(http.ErrAbortHandler)
+			ctrl.Abort()
 		}
 		if after < sto.floor {
 			sto.mu.Unlock()
@@ -75,7 +76,7 @@
 		rev, changed := sto.rev, sto.changed
 		sto.mu.Unlock()
 		if len(events) > 0 || over {
-			answer(wrt, http.StatusOK, struct {
+			ctrl.WriteJSON(wrt, http.StatusOK, struct {
 				Events     []item `json:"events"`
 				CurrentRev int64  `json:"currentRev"`
 			}{
@@ -107,15 +108,14 @@
 		} `json:"puts"`
 		Deletes []string `json:"deletes"`
 	}
-	if json.NewDecoder(req.Body).Decode(&body) != nil {
-		wrt.WriteHeader(http.StatusBadRequest)
+	if !ctrl.ReadJSON(wrt, req, &body) {
 		return
 	}
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
 	for _, exp := range body.Expect {
 		if sto.items[exp.Key].Rev != exp.Rev {
-			answer(wrt, http.StatusPreconditionFailed, map[string]any{
+			ctrl.WriteJSON(wrt, http.StatusPreconditionFailed, map[string]any{
 				"items": []item{sto.items[exp.Key]},
 			})
 			return
@@ -137,7 +137,7 @@
 	for _, key := range body.Deletes {
 		sto.remove(key)
 	}
-	answer(wrt, http.StatusOK, map[string]int64{
+	ctrl.WriteJSON(wrt, http.StatusOK, map[string]int64{
 		"rev": sto.rev,
 	})
 }
@@ -146,7 +146,10 @@
 	var body struct {
 		TTL float64 `json:"ttlS_time"`
 	}
-	if json.NewDecoder(req.Body).Decode(&body) != nil || body.TTL < 1 {
+	if !ctrl.ReadJSON(wrt, req, &body) {
+		return
+	}
+	if body.TTL < 1 {
 		wrt.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -158,7 +161,7 @@
 		ttl: ttl,
 		end: time.Now().Add(ttl),
 	}
-	answer(wrt, http.StatusOK, map[string]any{
+	ctrl.WriteJSON(wrt, http.StatusOK, map[string]any{
 		"lease":     sto.next,
 		"ttlS_time": body.TTL,
 	})
@@ -173,7 +176,7 @@
 		return
 	}
 	lse.end = time.Now().Add(lse.ttl)
-	answer(wrt, http.StatusOK, map[string]any{
+	ctrl.WriteJSON(wrt, http.StatusOK, map[string]any{
 		"ttlS_time": lse.ttl.Seconds(),
 	})
 }
--- a/internal/stand/pstore/pstore.go
+++ b/internal/stand/pstore/pstore.go
@@ -6,17 +6,17 @@
 package pstore
 
 import (
-	"context"
 	"encoding/json"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"cardamompass/internal/stand/ctrl"
 )
 
 // pageItems is the most items of a page; the real store has about 500.
@@ -62,24 +62,17 @@
 	next    int64
 	faults  Faults
 	changed chan struct{}
-	calls   map[string]int
 	address string
 }
 
 // New starts a store on an address, with port 0 for any, and returns the function that ends it.
 func New(address string) (sto *Store, cleanup func(), err error) {
-	lsn, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return nil, nil, err
-	}
 	sto = &Store{
 		rev:     1,
 		items:   make(map[string]item),
 		leases:  make(map[int64]*lease),
 		next:    100,
 		changed: make(chan struct{}),
-		calls:   make(map[string]int),
-		address: lsn.Addr().String(),
 	}
 	rtr := mux.NewRouter()
 	rtr.HandleFunc("/v1/kv-key", sto.get).Methods(http.MethodGet)
@@ -89,18 +82,18 @@
 	rtr.HandleFunc("/v1/kv-lease", sto.grant).Methods(http.MethodPost)
 	rtr.HandleFunc("/v1/kv-keep/{id}", sto.keep).Methods(http.MethodPost)
 	rtr.HandleFunc("/v1/kv-lease-end/{id}", sto.end).Methods(http.MethodDelete)
-	srv := &http.Server{
-		Handler:           sto.faulty(rtr),
-		ReadHeaderTimeout: time.Minute,
+	bound, stopServer, err := ctrl.Serve(address, sto.faulty(rtr))
+	if err != nil {
+		return nil, nil, err
 	}
-	var serving sync.WaitGroup
-	serving.Go(func() { _ = srv.Serve(lsn) })
+	sto.address = bound
 	stop := make(chan struct{})
-	serving.Go(func() { sto.expire(stop) })
+	var expiring sync.WaitGroup
+	expiring.Go(func() { sto.expire(stop) })
 	return sto, func() {
 		close(stop)
-		_ = srv.Close()
-		serving.Wait()
+		stopServer()
+		expiring.Wait()
 	}, nil
 }
 
@@ -138,19 +131,6 @@
 	sto.remove(key)
 }
 
-// Keys returns the keys with a prefix in their order.
-func (sto *Store) Keys(prefix string) (keys []string) {
-	sto.mu.Lock()
-	defer sto.mu.Unlock()
-	for key := range sto.items {
-		if strings.HasPrefix(key, prefix) {
-			keys = append(keys, key)
-		}
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // Compact discards the history, so that watches from older revisions get 410.
 func (sto *Store) Compact() {
 	sto.mu.Lock()
@@ -160,13 +140,6 @@
 	sto.notify()
 }
 
-// Calls returns the number of calls of a path.
-func (sto *Store) Calls(path string) (count int) {
-	sto.mu.Lock()
-	defer sto.mu.Unlock()
-	return sto.calls[path]
-}
-
 func (sto *Store) write(key string, data []byte, lse int64) {
 	sto.rev++
 	itm := item{
@@ -237,15 +210,14 @@
 	return http.HandlerFunc(func(wrt http.ResponseWriter, req *http.Request) {
 		sto.mu.Lock()
 		flt := sto.faults
-		sto.calls[req.URL.Path]++
 		sto.mu.Unlock()
 		host, _, _ := net.SplitHostPort(req.RemoteAddr)
 		switch {
 		case flt.Outage:
-			panic(http.ErrAbortHandler)
+			ctrl.Abort()
 		case flt.Silent:
 			<-req.Context().Done()
-			panic(http.ErrAbortHandler)
+			ctrl.Abort()
 		case slices.Contains(flt.Busy, host):
 			wrt.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -256,7 +228,7 @@
 		}
 		if flt.LoseWrites && req.Method != http.MethodGet {
 			next.ServeHTTP(discard{}, req)
-			panic(http.ErrAbortHandler)
+			ctrl.Abort()
 		}
 		next.ServeHTTP(wrt, req)
 	})
@@ -269,12 +241,6 @@
 func (discard) Write(data []byte) (num int, err error) { return len(data), nil }
 func (discard) WriteHeader(int)                        {}
 
-func answer(wrt http.ResponseWriter, status int, body any) {
-	wrt.Header().Set("Content-Type", "application/json")
-	wrt.WriteHeader(status)
-	_ = json.NewEncoder(wrt).Encode(body)
-}
-
 func number(text string) (num int64) {
 	num, _ = strconv.ParseInt(text, 10, 64) // 0 stands for a missing figure
 	return num
--- a/internal/stand/ptarg/ptarg.go
+++ b/internal/stand/ptarg/ptarg.go
@@ -203,7 +203,7 @@
 func (tgt *Target) finish(wrt http.ResponseWriter, req *http.Request, flt Fault, id string) {
 	body := Body(id)
 	head := fmt.Sprintf("Request-Id: %s\r\nResponse-Seal: seal-%s\r\n", id, id)
-	full := "HTTP/1.1 200 OK\r\n" + head + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	full := whole(id)
 	switch flt {
 	case FaultReset:
 		panic(http.ErrAbortHandler)
@@ -264,7 +264,11 @@
 	if err != nil {
 		return
 	}
-	id := req.Header.Get("Request-Id")
-	_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\nContent-Length: %d\r\n\r\n%s",
+	_, _ = io.WriteString(con, whole(req.Header.Get("Request-Id")))
+}
+
+// whole renders the whole answer to a request.
+func whole(id string) (text string) {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s\r\nContent-Length: %d\r\n\r\n%s",
 		id, id, len(Body(id)), Body(id))
 }
