send, sock: kept connections outlive the deadline of their last request

Cause: before a kept connection is used, send looks whether it is silent. The look was a read of the connection and failed once the read deadline of its last request had passed, 1 to 3 s after it; the connection was closed though the target keeps it for longer.

Ruled out: clearing the deadline when a connection is kept: one more call for each request, and the look would still depend on it.

Change: sock.Peek looks at what has arrived without a read. front uses it too for callers that left, which had its own copy of the call.

The test: three connections for three requests before, one after.

--- a/internal/edge/front/left.go
+++ b/internal/edge/front/left.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"net"
-	"syscall"
 
 	"github.com/pkg/errors"
+
+	"cardamompass/internal/edge/sock"
 )
 
 // connKey is the key of a caller's connection in the context of its requests.
@@ -25,26 +26,6 @@
 	if ctx.Err() != nil {
 		return true
 	}
-	con, isConn := ctx.Value(connKey{}).(syscall.Conn)
-	if !isConn {
-		return false
-	}
-	raw, err := con.SyscallConn()
-	if err != nil {
-		return true
-	}
-	var buf [1]byte
-	num, perr := -1, error(nil)
-	// Control does not wait for the read that net/http has under way on the connection.
-	err = raw.Control(func(fd uintptr) {
-		num, _, perr = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	switch {
-	case err != nil:
-		return true
-	case perr == nil:
-		return num == 0 // the end of the stream; other bytes belong to a next request
-	default:
-		return errors.Is(perr, syscall.ECONNRESET)
-	}
+	con, ok := ctx.Value(connKey{}).(net.Conn)
+	return ok && sock.Peek(con) == sock.Ended
 }
--- a/internal/edge/send/pool.go
+++ b/internal/edge/send/pool.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"cardamompass"
+	"cardamompass/internal/edge/sock"
 )
 
 // connect returns a kept connection that is still silent, or a new one.
@@ -19,7 +20,8 @@
 		if con == nil {
 			break
 		}
-		if con.silent() {
+		// Bytes that arrived while no request was under way belong to no request.
+		if sock.Peek(con.Conn) == sock.Silent {
 			return con, nil
 		}
 		_ = con.Close()
@@ -106,26 +108,6 @@
 	return count
 }
 
-// silent reports whether the other side has neither sent anything nor closed the connection. Bytes that arrived while no request
-// was under way belong to no request.
-func (con *conn) silent() (ok bool) {
-	sys, isSys := con.Conn.(syscall.Conn)
-	if !isSys {
-		return true
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	var buf [1]byte
-	var perr error
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, perr = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	})
-	return err == nil && (errors.Is(perr, syscall.EAGAIN) || errors.Is(perr, syscall.EWOULDBLOCK))
-}
-
 // Dialer returns a dial function whose connections end when the other side stays silent on sent bytes for limit.
 func Dialer(limit time.Duration) (dial func(ctx context.Context, network, address string) (net.Conn, error)) {
 	dlr := &net.Dialer{
--- a/internal/edge/send/send_test.go
+++ b/internal/edge/send/send_test.go
@@ -86,6 +86,24 @@
 	}
 }
 
+// Guards against kept connections that are given up once the deadline of their last request has passed: one new connection for each
+// three requests on the sites, though targets keep idle ones for longer.
+func TestConnectionOutlivesTheDeadlineOfItsRequest(t *testing.T) {
+	snd := newSender(t)
+	tgt, ins := newTarget(t)
+	for _, id := range []string{"r-1", "r-2", "r-3"} {
+		msg := message(id)
+		msg.Deadline = time.Now().Add(500 * time.Millisecond)
+		if _, err := snd.Do(t.Context(), ins, msg); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(600 * time.Millisecond)
+	}
+	if tgt.Connections() != 1 {
+		t.Fatalf("%d connections for three requests one after the other", tgt.Connections())
+	}
+}
+
 // Guards against a failure that claims that a request has not run though it has, and against broken answers that look whole.
 func TestFaultyTargets(t *testing.T) {
 	tests := []struct {
