--- a/cmd/cardamompass/main.go
+++ b/cmd/cardamompass/main.go
@@ -25,6 +25,7 @@
 	Dump      DumpCmd      `cmd:"" help:"Show the state of entry VMs."`
 	Bench     BenchCmd     `cmd:"" help:"Measure the steering under load, against the naive baseline."`
 	Rounds    RoundsCmd    `cmd:"" help:"Show the scores in the journal of the users' bench."`
+	Latency   LatencyCmd   `cmd:"" help:"Show the latency by kind of request on days of the users' bench."`
 	Version   VersionCmd   `cmd:"" help:"Show the program's version."`
 }
 
--- a/internal/load/rounds/rounds.go
+++ b/internal/load/rounds/rounds.go
@@ -1,4 +1,5 @@
-// Package rounds reads the journal of the users' bench and shows how the worth of the standard days changed from score to score.
+// Package rounds reads what the users' bench has written: its journal, to show how the worth of the standard days changed from score to
+// score, and its reports of single days, to show the latency by kind of request.
 //
 // The journal holds one JSON file for each run. Only whole scores count: runs of other kinds, and days that a score draws anew, are left out,
 // since their figures don't compare.
--- a/internal/load/rounds/rounds_test.go
+++ b/internal/load/rounds/rounds_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"cardamompass/internal/load/rounds"
 )
@@ -68,3 +69,53 @@
 		t.Fatalf("%d bytes, error %v", len(data), err)
 	}
 }
+
+// Guards against latencies of the wrong unit or kind, and against broken or empty reports that are passed over in silence.
+func TestReadDay(t *testing.T) {
+	dir := journal(t, map[string]string{
+		"quiet-1.json": `{"G":0.7,"classes":[{"name":"read","n":10,"in_aim":8,"p50_ms":250.5,"p99_ms":1200}]}`,
+		"bad.json":     `{"classes":`,
+		"empty.json":   `{}`,
+	})
+	day, err := rounds.ReadDay(filepath.Join(dir, "quiet-1.json"))
+	if err != nil || day.Name != "quiet-1" || len(day.Kinds) != 1 {
+		t.Fatalf("day %+v, error %v", day, err)
+	}
+	want := rounds.Kind{
+		Name:     "read",
+		Requests: 10,
+		InAim:    8,
+		Median:   250500 * time.Microsecond,
+		P99:      1200 * time.Millisecond,
+	}
+	if day.Kinds[0] != want {
+		t.Fatalf("kind %+v, want %+v", day.Kinds[0], want)
+	}
+	for _, name := range []string{"bad.json", "empty.json", "missing.json"} {
+		if _, err := rounds.ReadDay(filepath.Join(dir, name)); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+}
+
+// Guards against a plot that fails on kinds without a latency or without an aim, or is written of nothing.
+func TestWriteLatency(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "latency.png")
+	if err := rounds.WriteLatency(nil, nil, path); err == nil {
+		t.Fatal("no error without reports")
+	}
+	days := []rounds.Day{
+		{Name: "quiet-1", Kinds: []rounds.Kind{{Name: "read", Median: time.Second, P99: 2 * time.Second}, {Name: "never"}}},
+		{Name: "trouble-1", Kinds: []rounds.Kind{{Name: "read", Median: time.Second, P99: 2 * time.Second}}},
+	}
+	aims := map[string]time.Duration{
+		"read": 400 * time.Millisecond,
+	}
+	if err := rounds.WriteLatency(days, aims, path); err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil || !bytes.HasPrefix(data, []byte("\x89PNG")) {
+		t.Fatalf("%d bytes, error %v", len(data), err)
+	}
+}
