place: a VM that stops counts for its whole memory, not for the first one's

The bound is divided by the number of VMs, which is to follow a fall 5 s later. The census kept the most and fell to the present number 5 s after the most was last seen, over all counts between: of four VMs that stop 1.5 s apart, the last counted for 0.5 s while it still sent. Four VMs sent 4 or 5 requests each, the parts of three.

Change: the census keeps each count with the time at which it last held and gives the most of the last 5 s. The budget of repeats is divided by the same number.

The test failed first: 3 VMs instead of 6, 5 and 4.

--- a/internal/steer/place/place_test.go
+++ b/internal/steer/place/place_test.go
@@ -361,6 +361,40 @@
 	}
 }
 
+// Guards against VMs that stop one after the other and are forgotten all at once, the last of them while it still sends: a cold target
+// got 18 requests in one second where 15.5 are allowed ('removed-machines-cold-targets --vary --seed 330172870172' on mbmu-rain).
+func TestVMsThatStopOneAfterTheOther(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	brd := place.New(place.Config{
+		Self:    "vm-0",
+		Regions: regions,
+	})
+	brd.Sync(view.Empty(), start.Add(-time.Minute)) // not a VM that has just started
+	brd.NoteHeard(7, start)
+	for left := 6; left >= 3; left-- {
+		brd.NoteHeard(left, start.Add(time.Duration(6-left)*pause))
+	}
+	tests := []struct {
+		after time.Duration
+		want  int
+	}{
+		{4900 * time.Millisecond, 7},
+		{5100 * time.Millisecond, 6},
+		{6600 * time.Millisecond, 5},
+		{8100 * time.Millisecond, 4},
+		{9600 * time.Millisecond, 3},
+	}
+	for _, tst := range tests {
+		if got := brd.VMs(start.Add(tst.after)); got != tst.want {
+			t.Errorf("%d VMs %v after the first stop, want %d", got, tst.after, tst.want)
+		}
+	}
+	brd.NoteHeard(5, start.Add(10*time.Second))
+	if got := brd.VMs(start.Add(10 * time.Second)); got != 5 {
+		t.Errorf("%d VMs once two have started, want 5", got)
+	}
+}
+
 // Guards against shares of budgets that grow at once when VMs vanish from the store though they still run.
 func TestVMsAreForgottenSlowly(t *testing.T) {
 	brd := newBoard(1)
--- a/internal/steer/place/state.go
+++ b/internal/steer/place/state.go
@@ -112,30 +112,43 @@
 	return math.Exp(-age.Seconds() / memory.Seconds())
 }
 
-// census counts the running VMs. It follows a rise at once and a fall only after a while, since a VM that vanished from the store may
-// still run.
+// census counts the running VMs: the most of the last censusMemory. It follows a rise at once and a fall only after a while, since a VM
+// that vanished from the store or stops may still send.
 type census struct {
-	most   int
-	mostAt time.Time
-	last   int
+	falls []headcount // each lower than the one before; the last is the present one
+}
+
+// headcount is a number of VMs and when it last held.
+type headcount struct {
+	vms  int
+	last time.Time
 }
 
 // censusMemory is how long a VM counts after it has vanished from the store.
 const censusMemory = 5 * time.Second
 
-func (cns *census) note(count int, now time.Time) {
-	cns.last = count
-	if count >= cns.most || now.Sub(cns.mostAt) > censusMemory {
-		cns.most, cns.mostAt = count, now
+// note takes the number of VMs from now on.
+func (cns *census) note(vms int, now time.Time) {
+	cns.count(now)
+	for len(cns.falls) > 0 && cns.falls[len(cns.falls)-1].vms <= vms {
+		cns.falls = cns.falls[:len(cns.falls)-1]
 	}
+	cns.falls = append(cns.falls, headcount{
+		vms:  vms,
+		last: now,
+	})
 }
 
-func (cns *census) count(now time.Time) (count int) {
-	if cns.last == cns.most {
-		cns.mostAt = now
+// count returns the most VMs of the last censusMemory, at least 1.
+func (cns *census) count(now time.Time) (vms int) {
+	if len(cns.falls) == 0 {
+		return 1
+	}
+	cns.falls[len(cns.falls)-1].last = now
+	for now.Sub(cns.falls[0].last) > censusMemory {
+		cns.falls = cns.falls[1:]
 	}
-	cns.note(cns.last, now)
-	return max(1, cns.most)
+	return max(1, cns.falls[0].vms)
 }
 
 // trail remembers where this VM sent requests on an object.
