send: log what puts idle connections in doubt

Cause: a connection that breaks after a rest changes what the sender does with all rested ones for 5 to 30 s, and nothing said so. Ruled out: a line for each connection given up, one per target and VM. Measured: one line in the test with eight forgotten connections.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -104,6 +104,7 @@
 			Clock:    cfg.Clock,
 			Dial:     send.Dialer(targetSilence),
 			Opened:   func() { opened.Inc(1) },
+			Log:      cfg.Log,
 		})
 	})
 	nod.follower = own(nod, func() (*view.Follower, func()) {
--- a/internal/edge/send/pool.go
+++ b/internal/edge/send/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"cardamompass"
 	"cardamompass/internal/edge/sock"
@@ -82,10 +83,13 @@
 	return now.Sub(snd.doubted)
 }
 
-func (snd *Sender) doubt() {
+// doubt gives up rested connections for a while, since one that had rested broke under a request.
+func (snd *Sender) doubt(id cardamompass.InstanceID, req cardamompass.RequestID, rested time.Duration) {
 	snd.mu.Lock()
-	defer snd.mu.Unlock()
 	snd.doubted = snd.cfg.Clock.Now()
+	snd.mu.Unlock()
+	snd.cfg.Log.Info("idle connections in doubt", zap.String("request", string(req)), zap.String("target", string(id)),
+		zap.Duration("rested", rested), zap.Duration("for", doubtTime))
 }
 
 // restedFor returns how long the connection has carried no request, 0 for a new one.
--- a/internal/edge/send/send.go
+++ b/internal/edge/send/send.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"cardamompass"
 )
@@ -119,6 +120,8 @@
 	Dial func(ctx context.Context, network, address string) (con net.Conn, err error)
 	// Opened is called after each new connection. Optional.
 	Opened func()
+	// Log gets a line when a rested connection breaks, which puts the others in doubt. Optional.
+	Log *zap.Logger
 }
 
 // Sender sends requests to instances. It is safe for concurrent use.
@@ -142,6 +145,9 @@
 	if cfg.Opened == nil {
 		cfg.Opened = func() {}
 	}
+	if cfg.Log == nil {
+		cfg.Log = zap.NewNop()
+	}
 	snd = &Sender{
 		cfg:  cfg,
 		idle: make(map[cardamompass.InstanceID][]*conn),
@@ -166,8 +172,8 @@
 	defer stop()
 	began := snd.cfg.Clock.Now()
 	rep, whole, err := snd.exchange(ctx, con, ins, msg, left)
-	if forgotten(err) && con.restedFor(began) > sureRest {
-		snd.doubt()
+	if rested := con.restedFor(began); rested > sureRest && forgotten(err) {
+		snd.doubt(ins.ID, msg.ID, rested)
 	}
 	if stop() && whole && con.rdr.Buffered() == 0 {
 		con.rested = snd.cfg.Clock.Now()
--- a/internal/edge/send/send_test.go
+++ b/internal/edge/send/send_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"cardamompass"
 	"cardamompass/internal/edge/send"
@@ -115,7 +117,14 @@
 // 928 requests of the day 'forgotten-connections' failed, 505 while connections were given up sooner.
 func TestForgottenConnections(t *testing.T) {
 	const targets = 8
-	snd := newSender(t)
+	core, logs := observer.New(zap.InfoLevel)
+	snd, stop := send.New(send.Config{
+		Protocol: platform.Protocol{},
+		Clock:    cardamompass.SystemClock{},
+		Dial:     send.Dialer(time.Second),
+		Log:      zap.New(core),
+	})
+	t.Cleanup(stop)
 	var tgts []*ptarg.Target
 	var inss []cardamompass.Instance
 	for num := range targets {
@@ -151,6 +160,9 @@
 	if broken := round("repeatable", false); broken != 0 {
 		t.Fatalf("%d of %d requests broke soon after the first", broken, targets)
 	}
+	if num := logs.FilterMessage("idle connections in doubt").Len(); num != 1 {
+		t.Fatalf("%d log lines on idle connections, want one", num)
+	}
 }
 
 // Guards against a failure that claims that a request has not run though it has, and against broken answers that look whole.
