proof: TestKillBeforeDivision waits until a VM owns units

The VMs' logs end with the catalogue in force. A VM serves from then on and reads the ledgers after it; the test asked each VM once.

Change: the test waits until a VM owns slots.

--- a/internal/proof/whole_test.go
+++ b/internal/proof/whole_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"cardamompass/internal/fleet/share"
 	"cardamompass/internal/load/caller"
@@ -88,18 +89,24 @@
 		first *procs.VM
 		most  int64
 	)
-	for _, vmp := range sit.VMs {
-		sta, err := vmp.State()
-		must(tst, err)
-		for _, res := range sta.Shares.Resources {
-			if res.Name == share.SlotsName(demo.Short, "gulf") && res.Owned > most {
-				first, most = vmp, res.Owned
+	// A VM that serves may not own units yet: it reads the ledgers once it has the catalogue.
+	must(tst, procs.Await(time.Minute, func() (missing string) {
+		for _, vmp := range sit.VMs {
+			sta, err := vmp.State()
+			if err != nil {
+				return err.Error()
+			}
+			for _, res := range sta.Shares.Resources {
+				if res.Name == share.SlotsName(demo.Short, "gulf") && res.Owned > most {
+					first, most = vmp, res.Owned
+				}
 			}
 		}
-	}
-	if first == nil {
-		tst.Fatal("no entry VM owns slots")
-	}
+		if first == nil {
+			return "no entry VM owns slots"
+		}
+		return ""
+	}))
 	must(tst, first.Kill())
 	clr, stop := sit.Caller("gulf")
 	defer stop()
