--- a/internal/edge/send/pool.go
+++ b/internal/edge/send/pool.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"math"
 	"net"
 	"syscall"
 	"time"
@@ -45,8 +44,9 @@
 	}
 	snd.cfg.Opened()
 	return &conn{
-		Conn: raw,
-		rdr:  bufio.NewReaderSize(raw, readBufferSize),
+		Conn:   raw,
+		rdr:    bufio.NewReaderSize(raw, readBufferSize),
+		rested: snd.cfg.Clock.Now(),
 	}, nil
 }
 
@@ -56,14 +56,14 @@
 	now := snd.cfg.Clock.Now()
 	snd.mu.Lock()
 	defer snd.mu.Unlock()
-	doubted := snd.doubtedFor(now)
+	doubted := now.Sub(snd.doubted) // the longest duration while none broke
 	for {
 		list := snd.idle[id]
 		if len(list) == 0 {
 			return nil
 		}
 		con = list[len(list)-1]
-		long := con.restedFor(now) > sureRest
+		long := now.Sub(con.rested) > sureRest
 		if once && long && doubted < doubtOnceTime {
 			return nil // stays for a request that may be repeated
 		}
@@ -75,14 +75,6 @@
 	}
 }
 
-// doubtedFor returns the time since a rested connection last broke.
-func (snd *Sender) doubtedFor(now time.Time) (dur time.Duration) {
-	if snd.doubted.IsZero() {
-		return math.MaxInt64
-	}
-	return now.Sub(snd.doubted)
-}
-
 // doubt gives up rested connections for a while, since one that had rested broke under a request.
 func (snd *Sender) doubt(id cardamompass.InstanceID, req cardamompass.RequestID, rested time.Duration) {
 	snd.mu.Lock()
@@ -92,14 +84,6 @@
 		zap.Duration("rested", rested), zap.Duration("for", doubtTime))
 }
 
-// restedFor returns how long the connection has carried no request, 0 for a new one.
-func (con *conn) restedFor(now time.Time) (dur time.Duration) {
-	if con.rested.IsZero() {
-		return 0
-	}
-	return now.Sub(con.rested)
-}
-
 // forgotten reports whether a request ended as on a connection that its target has forgotten: broken before any answer.
 func forgotten(err error) (ok bool) {
 	var fail *Failure
--- a/internal/edge/send/send.go
+++ b/internal/edge/send/send.go
@@ -137,7 +137,7 @@
 	net.Conn
 	rdr    *bufio.Reader
 	usable time.Time // the connection must not be used after this time
-	rested time.Time // the connection carries no request since this time; zero for a new one
+	rested time.Time // the connection carries no request since this time
 }
 
 // New returns a Sender and the function that closes its idle connections.
@@ -162,7 +162,8 @@
 	if err != nil {
 		return rep, err
 	}
-	left := msg.Deadline.Sub(snd.cfg.Clock.Now())
+	began := snd.cfg.Clock.Now()
+	left := msg.Deadline.Sub(began)
 	if left <= 0 || ctx.Err() != nil {
 		snd.keep(ins.ID, con)
 		return rep, notRun(reasonOf(ctx, KindTimeout), errors.New("no time left to send"))
@@ -170,9 +171,8 @@
 	_ = con.SetDeadline(msg.Deadline) // fails only on a closed connection, which the write reports
 	stop := context.AfterFunc(ctx, func() { _ = con.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	began := snd.cfg.Clock.Now()
 	rep, whole, err := snd.exchange(ctx, con, ins, msg, left)
-	if rested := con.restedFor(began); rested > sureRest && forgotten(err) {
+	if rested := began.Sub(con.rested); rested > sureRest && forgotten(err) {
 		snd.doubt(ins.ID, msg.ID, rested)
 	}
 	if stop() && whole && con.rdr.Buffered() == 0 {
--- a/internal/load/rounds/latency.go
+++ b/internal/load/rounds/latency.go
@@ -1,8 +1,6 @@
 package rounds
 
 import (
-	"encoding/json"
-	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -39,17 +37,12 @@
 
 // ReadDay returns the latencies in the report of one day, as `fleetbench run --report` writes it. A report without kinds is an error.
 func ReadDay(path string) (day Day, err error) {
-	defer func() { err = errors.Wrap(err, filepath.Base(path)) }()
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return day, err
-	}
 	var rep report
-	if err = json.Unmarshal(data, &rep); err != nil {
+	if err = readFile(path, &rep); err != nil {
 		return day, err
 	}
 	if len(rep.Classes) == 0 {
-		return day, errors.New("the report has no kinds of requests")
+		return day, errors.Errorf("%s: the report has no kinds of requests", filepath.Base(path))
 	}
 	day.Name = strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))
 	for _, cls := range rep.Classes {
--- a/internal/load/rounds/rounds.go
+++ b/internal/load/rounds/rounds.go
@@ -54,7 +54,7 @@
 	for _, path := range paths {
 		rnd, ok, err := readEntry(path)
 		if err != nil {
-			return nil, errors.Wrap(err, filepath.Base(path))
+			return nil, err
 		}
 		if ok {
 			rds = append(rds, rnd)
@@ -65,12 +65,8 @@
 }
 
 func readEntry(path string) (rnd Round, ok bool, err error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return rnd, false, err
-	}
 	var ent entry
-	if err = json.Unmarshal(data, &ent); err != nil {
+	if err = readFile(path, &ent); err != nil {
 		return rnd, false, err
 	}
 	if ent.Cmd != "score" || len(ent.At) == 0 {
@@ -97,6 +93,16 @@
 	return rnd, true, nil
 }
 
+// readFile decodes a JSON file. Its errors name the file.
+func readFile(path string, value any) (err error) {
+	defer func() { err = errors.Wrap(err, filepath.Base(path)) }()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, value)
+}
+
 // whole returns the rounds of a site with the most days, since a score may be of a few days only.
 func whole(rds []Round, site string) (out []Round) {
 	most := 0
--- a/internal/steer/place/place.go
+++ b/internal/steer/place/place.go
@@ -66,7 +66,7 @@
 	defer brd.mu.Unlock()
 	old := brd.vew
 	brd.vew = vew
-	brd.vms.note(max(brd.heard, len(vew.VMs())), now)
+	brd.recount(now)
 	if brd.started.IsZero() {
 		brd.started = now
 	}
@@ -112,9 +112,12 @@
 	brd.mu.Lock()
 	defer brd.mu.Unlock()
 	brd.heard = count
-	brd.vms.note(max(count, len(brd.vew.VMs())), now)
+	brd.recount(now)
 }
 
+// recount notes the present number of VMs: the larger of those that the store names and those that were heard.
+func (brd *Board) recount(now time.Time) { brd.vms.note(max(brd.heard, len(brd.vew.VMs())), now) }
+
 // VMs returns the number of VMs among which common budgets are divided, at least 1. A VM that has just started may not know the others
 // yet and takes them to be as many as there are failure domains.
 func (brd *Board) VMs(now time.Time) (count int) {
