limit: judge the cap of a link by what crosses it

Cause: TestLinkCap counted all bytes that the targets of delta send against the link from delta to gulf, also those that go through the entry VMs of piedmont. These cross the links from delta to piedmont and on to gulf, whose caps were 25 times as high: their answers of 4 MB arrived within 0.2 s each (timeline of readings: 10 to 12 MB in single readings of 0.2 s, 2 MB in the others). Ruled out: pay ahead and socket buffers (at most 0.3 MB for each of 12 answers), loans that count twice (the bursts also come before any fault), frozen VMs. Change: the test has a run for each link in which all long answers cross it, with the same cap, faults and windows. A run that uses less than a quarter of the cap fails.

--- a/internal/proof/limit/caps_test.go
+++ b/internal/proof/limit/caps_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"cardamompass"
 	"cardamompass/internal/stand/demo"
 	"cardamompass/internal/stand/kvsrv"
 	"cardamompass/internal/stand/procs"
@@ -15,7 +16,7 @@
 	// shiftCap and lowCap are requests a second, before and after the edit in a storm.
 	shiftCap = 200
 	lowCap   = 100
-	// linkKbit is the cap of the link from delta to gulf, in kbit/s.
+	// linkKbit is the cap of a link from delta, in kbit/s.
 	linkKbit = 160_000
 	// linkBytes is the same in bytes a second.
 	linkBytes = linkKbit * 1000 / 8
@@ -34,10 +35,11 @@
 	lowered time.Time
 }
 
-// stormSite starts a site whose targets in delta have so many slots that only the caps limit the shift.
-func stormSite(tst *testing.T, perSecond, kbit int64) (sit *procs.Site) {
+// stormSite starts a site whose targets in delta have so many slots that only the caps limit the shift. The link from delta to
+// another region has the cap of kbit.
+func stormSite(tst *testing.T, perSecond, kbit int64, other cardamompass.Region) (sit *procs.Site) {
 	tst.Helper()
-	cfg := siteConfig(tst, shiftEntry(tst, demo.Short, perSecond), linkEntry(tst, kbit))
+	cfg := siteConfig(tst, shiftEntry(tst, demo.Short, perSecond), linkEntry(tst, "delta", other, kbit))
 	cfg.Settings = map[string]any{
 		"lookup-max-age": "500ms", // shortens the planned stop
 	}
@@ -63,14 +65,15 @@
 	}
 }
 
-func startStorm(tst *testing.T, sit *procs.Site, rnd *rand.Rand) (stm *storm) {
+// startStorm starts the shift. Long requests use only the entry VMs of the given regions.
+func startStorm(tst *testing.T, sit *procs.Site, rnd *rand.Rand, regions ...cardamompass.Region) (stm *storm) {
 	tst.Helper()
 	return &storm{
 		sit:   sit,
 		rnd:   rnd,
 		meter: newByteMeter(tst, sit),
 		short: startShort(tst, sit, rnd, shortWait),
-		long:  startLong(tst, sit, rnd),
+		long:  startLong(tst, sit, rnd, regions...),
 	}
 }
 
@@ -87,11 +90,11 @@
 	})
 }
 
-func startLong(tst *testing.T, sit *procs.Site, rnd *rand.Rand) (lod *load) {
+func startLong(tst *testing.T, sit *procs.Site, rnd *rand.Rand, regions ...cardamompass.Region) (lod *load) {
 	tst.Helper()
 	return startLoad(tst, loadConfig{
 		Name:    "long",
-		VMs:     sit.VMs,
+		VMs:     vmsOf(sit, regions...),
 		Region:  "gulf",
 		Service: demo.Long,
 		Callers: 12,
@@ -146,12 +149,12 @@
 // a planned stop keeps.
 func TestCaps(tst *testing.T) {
 	rnd := newRandom(tst)
-	sit := stormSite(tst, shiftCap, linkKbit)
+	sit := stormSite(tst, shiftCap, linkKbit, "gulf")
 	settle(tst, sit)
 	leaveGulf(tst, sit)
 	awaitAvoided(tst, sit, "gulf")
 	checkDemand(tst, sit, rnd)
-	stm := startStorm(tst, sit, rnd)
+	stm := startStorm(tst, sit, rnd, "gulf", "delta", "piedmont")
 	stm.faults(tst)
 	sent := stm.short.stop()
 	stm.long.stop()
@@ -168,19 +171,37 @@
 	checkStop(tst, sit)
 }
 
-// TestLinkCap guards against bytes above the cap of a link, those of long answers included, under the same faults.
+// TestLinkCap guards against bytes above the cap of a link, those of long answers included, under the same faults. Answers from
+// delta through the entry VMs of piedmont cross the link to piedmont and the one from there, and not the one to gulf, so each link
+// has a run of its own in which all long answers cross it.
 func TestLinkCap(tst *testing.T) {
-	rnd := newRandom(tst)
-	sit := stormSite(tst, shiftCap, linkKbit)
-	settle(tst, sit)
-	leaveGulf(tst, sit)
-	awaitAvoided(tst, sit, "gulf")
-	stm := startStorm(tst, sit, rnd)
-	stm.faults(tst)
-	stm.short.stop()
-	stm.long.stop()
-	if stm.meter.over(tst) {
-		tst.Error("the link cap was passed")
+	tests := []struct {
+		name string
+		// to is the region at the end of the link, through are the regions of the entry VMs whose callers' answers cross it.
+		to      cardamompass.Region
+		through []cardamompass.Region
+	}{
+		{"to the callers' region", "gulf", []cardamompass.Region{"gulf", "delta"}},
+		{"to a region between", "piedmont", []cardamompass.Region{"piedmont"}},
+	}
+	for _, tcs := range tests {
+		tst.Run(tcs.name, func(tst *testing.T) {
+			rnd := newRandom(tst)
+			sit := stormSite(tst, shiftCap, linkKbit, tcs.to)
+			settle(tst, sit)
+			leaveGulf(tst, sit)
+			awaitAvoided(tst, sit, "gulf")
+			stm := startStorm(tst, sit, rnd, tcs.through...)
+			stm.faults(tst)
+			stm.short.stop()
+			stm.long.stop()
+			if stm.meter.over(tst) {
+				tst.Error("the link cap was passed")
+			}
+			if most := stm.meter.most(time.Second); most < linkBytes/4 {
+				tst.Errorf("at most %d bytes within 1 s, too few to judge a cap of %d a second", most, linkBytes)
+			}
+		})
 	}
 }
 
@@ -188,7 +209,7 @@
 // requests come one after the other, since both at once don't exceed the shift cap on a slow machine.
 func TestCapsCheckFails(tst *testing.T) {
 	rnd := newRandom(tst)
-	sit := stormSite(tst, 10*shiftCap, 10*linkKbit)
+	sit := stormSite(tst, 10*shiftCap, 10*linkKbit, "gulf")
 	leaveGulf(tst, sit)
 	short := startShort(tst, sit, rnd, demandWait)
 	pass(7 * time.Second)
@@ -196,7 +217,7 @@
 		tst.Error("the check of the shift cap found nothing")
 	}
 	meter := newByteMeter(tst, sit)
-	long := startLong(tst, sit, rnd)
+	long := startLong(tst, sit, rnd, "gulf", "delta")
 	pass(7 * time.Second)
 	long.stop()
 	if !meter.over(tst) {
--- a/internal/proof/limit/site_test.go
+++ b/internal/proof/limit/site_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -78,17 +79,27 @@
 	})
 }
 
-// linkEntry caps the link from delta to gulf, which carries the answers of a shift from gulf to delta.
-func linkEntry(tst *testing.T, kbit int64) catlg.Entry {
+// linkEntry caps the link between two regions.
+func linkEntry(tst *testing.T, from, to cardamompass.Region, kbit int64) catlg.Entry {
 	tst.Helper()
-	return newEntry(tst, catlg.LinkEntry("delta", "gulf"), cardamompass.Link{
-		From:          "delta",
-		To:            "gulf",
+	return newEntry(tst, catlg.LinkEntry(from, to), cardamompass.Link{
+		From:          from,
+		To:            to,
 		KbitPerSecond: kbit,
 		LongPercent:   80,
 	})
 }
 
+// vmsOf returns the entry VMs of some regions.
+func vmsOf(sit *procs.Site, regions ...cardamompass.Region) (vms []*procs.VM) {
+	for _, vmp := range sit.VMs {
+		if slices.Contains(regions, vmp.Place.Region) {
+			vms = append(vms, vmp)
+		}
+	}
+	return vms
+}
+
 // edit puts one entry into the catalogue and waits until it is in force at the given entry VMs.
 func edit(tst *testing.T, sit *procs.Site, ent catlg.Entry, vms []*procs.VM) {
 	tst.Helper()
