--- a/internal/proof/limit/region_test.go
+++ b/internal/proof/limit/region_test.go
@@ -1,21 +1,27 @@
 package limit_test
 
 import (
+	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strconv"
 	"testing"
 	"time"
 
 	"cardamompass"
+	"cardamompass/internal/load/caller"
 	"cardamompass/internal/stand/demo"
 	"cardamompass/internal/stand/fault"
 	"cardamompass/internal/stand/procs"
 	"cardamompass/internal/stand/target"
 )
 
-// busyTime is the service time of the requests of an overload.
-const busyTime = 100 * time.Millisecond
+const (
+	// busyTime is the service time of the requests of an overload, busyTimeout their timeout.
+	busyTime    = 100 * time.Millisecond
+	busyTimeout = time.Second
+)
 
 // busySite starts a site for an overload. Its targets run any number of requests at once, so that a count of what runs is
 // not bounded by the targets themselves; the catalogue gives each 6 slots.
@@ -40,7 +46,7 @@
 		Region:  "gulf",
 		Service: demo.Short,
 		Callers: 80,
-		Timeout: time.Second,
+		Timeout: busyTimeout,
 		Header: map[string]string{
 			target.HeaderService: strconv.FormatInt(busyTime.Milliseconds(), 10),
 		},
@@ -107,33 +113,118 @@
 	lod.stop()
 }
 
-// peakOf returns the largest number of requests that certainly ran at once on the targets. A request that was answered
-// after one run held its slot for the whole service time.
+// peakOf returns the largest number of requests that certainly ran at once on the targets: those that were answered after one run, for
+// as long as they certainly ran.
 func peakOf(tst *testing.T, sent []sending, tgts []*procs.Target) (peak int) {
 	tst.Helper()
-	answered := make(map[string]bool)
+	sendings := make(map[string]sending)
 	for _, snd := range sent {
-		answered[snd.operation] = snd.rsp.Outcome == cardamompass.OutcomeAnswered
+		sendings[snd.operation] = snd
 	}
-	var begins []time.Time
+	var runs []span
 	for _, tgt := range tgts {
-		runs, err := tgt.Runs()
+		rec, err := tgt.Runs()
 		must(tst, err)
-		for _, run := range runs.Last {
-			if answered[run.Operation] && runs.ByOperation[run.Operation] == 1 {
-				begins = append(begins, run.At)
+		for _, run := range rec.Last {
+			snd := sendings[run.Operation]
+			if snd.rsp.Outcome == cardamompass.OutcomeAnswered && rec.ByOperation[run.Operation] == 1 {
+				runs = append(runs, span{
+					from: run.At,
+					to:   endOf(snd, run.At),
+				})
 			}
 		}
 	}
-	slices.SortFunc(begins, time.Time.Compare)
-	first := 0
-	for num, began := range begins {
-		for !began.Before(begins[first].Add(busyTime)) {
-			first++
+	return mostAtOnce(runs)
+}
+
+// endOf returns a time until which an answered request certainly ran. A target ends a run at its deadline with an answer of its own, so
+// that not every answered request ran for the whole service time.
+func endOf(snd sending, began time.Time) (end time.Time) {
+	end = began.Add(busyTime)
+	if snd.rsp.Status == http.StatusOK {
+		return end
+	}
+	// The entry VM counts the timeout from a later moment, and each side rounds the time left down to milliseconds.
+	if deadline := snd.began.Add(busyTimeout - 2*time.Millisecond); deadline.Before(end) {
+		return deadline
+	}
+	return end
+}
+
+// mostAtOnce returns the largest number of spans that have a moment in common. A span does not contain its end.
+func mostAtOnce(spans []span) (most int) {
+	steps := make(map[int64]int) // by nanoseconds since the Unix epoch
+	for _, spn := range spans {
+		if spn.from.Before(spn.to) {
+			steps[spn.from.UnixNano()]++
+			steps[spn.to.UnixNano()]--
 		}
-		peak = max(peak, num-first+1)
 	}
-	return peak
+	count := 0
+	for _, tim := range slices.Sorted(maps.Keys(steps)) {
+		count += steps[tim]
+		most = max(most, count)
+	}
+	return most
+}
+
+// TestMostAtOnce guards against a count of requests at once that misses one, or takes one that has ended for one that runs.
+func TestMostAtOnce(tst *testing.T) {
+	start := time.Unix(1000, 0)
+	spn := func(from, to int) span {
+		return span{
+			from: start.Add(time.Duration(from) * time.Millisecond),
+			to:   start.Add(time.Duration(to) * time.Millisecond),
+		}
+	}
+	tests := []struct {
+		name  string
+		spans []span
+		want  int
+	}{
+		{"none", nil, 0},
+		{"one after the other", []span{spn(0, 100), spn(100, 200)}, 1},
+		{"one within another", []span{spn(0, 100), spn(20, 40), spn(50, 60)}, 2},
+		{"the same span twice", []span{spn(0, 100), spn(0, 100), spn(99, 150)}, 3},
+		{"an empty span", []span{spn(0, 100), spn(50, 50)}, 1},
+		{"ended before it began", []span{spn(0, 100), spn(50, 20)}, 1},
+	}
+	for _, tcs := range tests {
+		tst.Run(tcs.name, func(tst *testing.T) {
+			if got := mostAtOnce(tcs.spans); got != tcs.want {
+				tst.Errorf("%d at once, want %d", got, tcs.want)
+			}
+		})
+	}
+}
+
+// TestEndOf guards against a run that a target ended at its deadline and that is taken for one of the whole service time.
+func TestEndOf(tst *testing.T) {
+	sent := time.Unix(1000, 0)
+	tests := []struct {
+		name   string
+		status int
+		began  time.Duration
+		want   time.Duration
+	}{
+		{"answered", http.StatusOK, 950 * time.Millisecond, 950*time.Millisecond + busyTime},
+		{"ended at the deadline", http.StatusGatewayTimeout, 950 * time.Millisecond, busyTimeout - 2*time.Millisecond},
+		{"failed long before the deadline", http.StatusInternalServerError, 0, busyTime},
+	}
+	for _, tcs := range tests {
+		tst.Run(tcs.name, func(tst *testing.T) {
+			snd := sending{
+				began: sent,
+				rsp: caller.Response{
+					Status: tcs.status,
+				},
+			}
+			if got := endOf(snd, sent.Add(tcs.began)).Sub(sent); got != tcs.want {
+				tst.Errorf("it ran until %v, want %v", got, tcs.want)
+			}
+		})
+	}
 }
 
 // setListed changes a target in the platform's list.
--- a/internal/proof/limit/window_test.go
+++ b/internal/proof/limit/window_test.go
@@ -8,7 +8,7 @@
 	"cardamompass/internal/stand/procs"
 )
 
-// span is the time within which a request was permitted: after its caller sent it and before its target ran it.
+// span is the time within which a request was permitted, after its caller sent it and before its target ran it, or in which it ran.
 type span struct {
 	from time.Time
 	to   time.Time
