--- a/internal/edge/front/share.go
+++ b/internal/edge/front/share.go
@@ -26,7 +26,7 @@
 	// urgentLoad is the load relative to the slots up to which the most urgent requests are sent to a target; a queue of the length of
 	// the slots is about as long as an objective leaves. Each less urgent priority has loadStep less, down to leastLoad.
 	urgentLoad = 2.0
-	loadStep   = 0.5
+	loadStep   = 0.25
 	leastLoad  = 1.25
 )
 
