--- a/internal/proof/limit/caps_test.go
+++ b/internal/proof/limit/caps_test.go
@@ -35,11 +35,11 @@
 	lowered time.Time
 }
 
-// stormSite starts a site whose targets in delta have so many slots that only the caps limit the shift. The link from delta to
-// another region has the cap of kbit.
-func stormSite(tst *testing.T, perSecond, kbit int64, other cardamompass.Region) (sit *procs.Site) {
+// stormSite starts a site whose targets in delta have so many slots that only the caps limit the shift: perSecond requests a second
+// from gulf to delta, and kbit on the link from delta to another region.
+func stormSite(tst *testing.T, perSecond, kbit int64, to cardamompass.Region) (sit *procs.Site) {
 	tst.Helper()
-	cfg := siteConfig(tst, shiftEntry(tst, demo.Short, perSecond), linkEntry(tst, "delta", other, kbit))
+	cfg := siteConfig(tst, shiftEntry(tst, demo.Short, perSecond), linkEntry(tst, "delta", to, kbit))
 	cfg.Settings = map[string]any{
 		"lookup-max-age": "500ms", // shortens the planned stop
 	}
--- a/internal/steer/place/choose.go
+++ b/internal/steer/place/choose.go
@@ -166,7 +166,7 @@
 
 // beyond returns the index of the first instance beyond the close ranks with room to spare, -1 if there is none or if these instances
 // are busy together.
-func (brd *Board) beyond(qry Query, ranked []candidate, trl *trail, rej *Rejected) (num int) {
+func (brd *Board) beyond(qry Query, ranked []candidate, trl *trail, rej *Rejected) (first int) {
 	others := ranked[closeRanks:]
 	load := 0.0
 	for num := range others {
