--- a/internal/load/rounds/rounds.go
+++ b/internal/load/rounds/rounds.go
@@ -33,10 +33,10 @@
 
 // entry is a file of the journal; fields that are not used are left out.
 type entry struct {
-	At   []time.Time `json:"at"` // begin and end
-	Cmd  string      `json:"cmd"`
-	Why  string      `json:"why"`
-	Site string      `json:"site"`
+	At   []string `json:"at"` // begin and end; the end is empty for a run that did not finish
+	Cmd  string   `json:"cmd"`
+	Why  string   `json:"why"`
+	Site string   `json:"site"`
 	Days []struct {
 		Name string  `json:"name"`
 		G    float64 `json:"G"`   // worth
@@ -69,14 +69,16 @@
 	if err = readFile(path, &ent); err != nil {
 		return rnd, false, err
 	}
-	if ent.Cmd != "score" || len(ent.At) == 0 {
+	if ent.Cmd != "score" || len(ent.Days) == 0 {
 		return rnd, false, nil
 	}
 	rnd = Round{
-		At:   ent.At[0],
 		Site: ent.Site,
 		Why:  ent.Why,
 	}
+	if rnd.At, err = ent.begin(); err != nil {
+		return rnd, false, errors.Wrap(err, filepath.Base(path))
+	}
 	for _, day := range ent.Days {
 		if strings.HasPrefix(day.Name, drawnDay) {
 			continue
@@ -93,6 +95,14 @@
 	return rnd, true, nil
 }
 
+// begin returns the time at which the run began.
+func (ent *entry) begin() (at time.Time, err error) {
+	if len(ent.At) == 0 {
+		return at, errors.New("the entry has no time")
+	}
+	return time.Parse(time.RFC3339, ent.At[0])
+}
+
 // readFile decodes a JSON file. Its errors name the file.
 func readFile(path string, value any) (err error) {
 	defer func() { err = errors.Wrap(err, filepath.Base(path)) }()
--- a/internal/load/rounds/rounds_test.go
+++ b/internal/load/rounds/rounds_test.go
@@ -25,13 +25,16 @@
 
 const days = `"days":[{"name":"quiet-1","G":0.7,"top":0.6},{"name":"scale-1","G":0.5,"top":0.4},{"name":"fresh-1","G":0.1,"top":0.9}]`
 
-// Guards against figures that do not compare: days drawn anew, runs of single days, and scores out of order.
+// Guards against figures that do not compare: days drawn anew, runs of single days, and scores out of order; and against a run that was
+// ended before its time, whose entry has no end and no days, and that kept the whole journal from being read.
 func TestRead(t *testing.T) {
 	dir := journal(t, map[string]string{
 		"1.json":    `{"cmd":"score","at":["2026-12-04T10:00:00Z","2026-12-04T10:01:00Z"],"site":"b","why":"later",` + days + `}`,
 		"2.json":    `{"cmd":"score","at":["2026-12-04T09:00:00Z"],"site":"a","why":"sooner",` + days + `}`,
 		"3.json":    `{"cmd":"hunt","at":["2026-12-04T09:00:00Z"],"site":"a",` + days + `}`,
 		"4.json":    `{"cmd":"score","at":["2026-12-04T09:00:00Z"],"site":"a","days":[]}`,
+		"5.json":    `{"cmd":"hunt","at":["2026-12-04T09:00:00Z",""],"site":null,"days":[]}`,
+		"6.json":    `{"cmd":"score","at":["2026-12-04T09:00:00Z",""],"site":null,"days":[]}`,
 		"notes.txt": `no entry`,
 	})
 	rds, err := rounds.Read(dir)
@@ -48,9 +51,17 @@
 
 // Guards against a broken file that is passed over in silence.
 func TestBrokenEntryIsNamed(t *testing.T) {
-	_, err := rounds.Read(journal(t, map[string]string{"bad.json": `{"cmd":`}))
-	if err == nil || !strings.Contains(err.Error(), "bad.json") {
-		t.Fatalf("error %v", err)
+	for name, text := range map[string]string{
+		"no JSON":  `{"cmd":`,
+		"no begin": `{"cmd":"score","at":[],"site":"a",` + days + `}`,
+		"no time":  `{"cmd":"score","at":["yesterday"],"site":"a",` + days + `}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := rounds.Read(journal(t, map[string]string{"bad.json": text}))
+			if err == nil || !strings.Contains(err.Error(), "bad.json") {
+				t.Fatalf("error %v", err)
+			}
+		})
 	}
 }
 
