--- a/internal/load/rounds/latency.go
+++ b/internal/load/rounds/latency.go
@@ -36,13 +36,15 @@
 }
 
 // ReadDay returns the latencies in the report of one day, as `fleetbench run --report` writes it. A report without kinds is an error.
+// Its errors name the file.
 func ReadDay(path string) (day Day, err error) {
+	defer func() { err = errors.Wrap(err, filepath.Base(path)) }()
 	var rep report
 	if err = readFile(path, &rep); err != nil {
 		return day, err
 	}
 	if len(rep.Classes) == 0 {
-		return day, errors.Errorf("%s: the report has no kinds of requests", filepath.Base(path))
+		return day, errors.New("the report has no kinds of requests")
 	}
 	day.Name = strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))
 	for _, cls := range rep.Classes {
--- a/internal/load/rounds/rounds.go
+++ b/internal/load/rounds/rounds.go
@@ -64,7 +64,9 @@
 	return rds, nil
 }
 
+// readEntry returns the round of a file; ok is false for a file that holds no score. Its errors name the file.
 func readEntry(path string) (rnd Round, ok bool, err error) {
+	defer func() { err = errors.Wrap(err, filepath.Base(path)) }()
 	var ent entry
 	if err = readFile(path, &ent); err != nil {
 		return rnd, false, err
@@ -77,7 +79,7 @@
 		Why:  ent.Why,
 	}
 	if rnd.At, err = ent.begin(); err != nil {
-		return rnd, false, errors.Wrap(err, filepath.Base(path))
+		return rnd, false, err
 	}
 	for _, day := range ent.Days {
 		if strings.HasPrefix(day.Name, drawnDay) {
@@ -103,9 +105,8 @@
 	return time.Parse(time.RFC3339, ent.At[0])
 }
 
-// readFile decodes a JSON file. Its errors name the file.
+// readFile decodes a JSON file.
 func readFile(path string, value any) (err error) {
-	defer func() { err = errors.Wrap(err, filepath.Base(path)) }()
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return err
