front: bound the memory and the time of request bodies

Cause: the memory for a body was allocated by its announced length, up to the operators' limit (64 MiB in the example of the wire) for each caller, on VMs of 284 MB. A caller that stopped in the middle of a body kept its handler and the memory for as long as its connection lasted, also through a planned stop. Ruled out: a fixed number of uploads at a time: sizes differ by a factor of a thousand. Reserving the announced length: eight stalled callers with 1 MB each took a pool of 4 MB from the others (TestStalledUpload). Change: bodies take memory as they arrive, from a quarter of the VM's; a body that can't be held is refused before it is read. The log has the time until the body was complete (received), the metrics have the bytes in use. A response to HEAD keeps its declared length. Measured: TestUpload, TestManyUploads, TestStalledUpload, TestUploadBrokenOff, TestBodyDeadlineEndsWithTheBody, TestHeadRequest.

--- a/internal/edge/front/dispatch.go
+++ b/internal/edge/front/dispatch.go
@@ -34,6 +34,8 @@
 	// mayHaveRun is set once a target may have run the request.
 	mayHaveRun bool
 	fallback   *send.Reply // error response of a target, used when no better response comes
+	results    chan *attempt
+	ended      chan struct{} // closed when no more results are received
 }
 
 // attempt is one sending of the request to one target.
@@ -47,15 +49,19 @@
 
 // run returns the response to the request. After an error mayHaveRun tells whether the request may have run.
 func (dsp *dispatch) run(ctx context.Context) (rep send.Reply, err error) {
-	results := make(chan *attempt, 2*maxUnsentAttempts+dsp.exc.route.MaxTargets)
+	dsp.results, dsp.ended = make(chan *attempt), make(chan struct{})
 	inFlight := make(map[*attempt]bool)
 	defer func() {
+		close(dsp.ended)
 		for atm := range inFlight {
 			atm.cancel()
 		}
+		if dsp.fallback != nil && err != nil {
+			dsp.fallback.Release()
+		}
 	}()
 	launch := func(hedge bool) (err error) {
-		atm, err := dsp.launch(ctx, results, hedge)
+		atm, err := dsp.launch(ctx, hedge)
 		if err == nil {
 			inFlight[atm] = true
 		}
@@ -68,10 +74,12 @@
 	defer hedge.Stop()
 	for {
 		select {
-		case atm := <-results:
+		case atm := <-dsp.results:
 			delete(inFlight, atm)
-			done := dsp.handleResult(atm)
-			if done {
+			if dsp.handleResult(atm) {
+				if dsp.fallback != nil {
+					dsp.fallback.Release()
+				}
 				return atm.rep, nil
 			}
 			if len(inFlight) > 0 {
@@ -104,7 +112,7 @@
 
 // launch chooses a target and starts an attempt. Retries and hedges are taken from the retry budget, but only once a target is
 // found, so that requests without a usable target don't use up the budget.
-func (dsp *dispatch) launch(ctx context.Context, results chan<- *attempt, hedge bool) (atm *attempt, err error) {
+func (dsp *dispatch) launch(ctx context.Context, hedge bool) (atm *attempt, err error) {
 	if callerDisconnected(dsp.exc.req.Context()) {
 		return nil, errCallerDisconnected
 	}
@@ -141,7 +149,11 @@
 		defer cancel()
 		atm.rep, atm.err = frt.cfg.Sender.Do(sctx, chc.Instance, dsp.msg)
 		frt.reportAttempt(dsp.affinityHash, atm)
-		results <- atm
+		select {
+		case dsp.results <- atm:
+		case <-dsp.ended:
+			atm.rep.Release()
+		}
 	}()
 	return atm, nil
 }
@@ -157,9 +169,7 @@
 		if atm.rep.Status < http.StatusInternalServerError && !impliesNotRun(atm.rep.Status) {
 			return true
 		}
-		if !impliesNotRun(atm.rep.Status) {
-			dsp.fallback = &atm.rep
-		}
+		dsp.keepFallback(&atm.rep)
 		atm.err = &send.Failure{
 			Kind:           send.KindBroken,
 			HeaderReceived: true,
@@ -182,6 +192,18 @@
 	return false
 }
 
+// keepFallback keeps an error response in place of an earlier one, unless its status promises what it must not.
+func (dsp *dispatch) keepFallback(rep *send.Reply) {
+	if impliesNotRun(rep.Status) {
+		rep.Release()
+		return
+	}
+	if dsp.fallback != nil {
+		dsp.fallback.Release()
+	}
+	dsp.fallback = rep
+}
+
 // impliesNotRun reports whether callers take a status to mean that the request has not run. A target that means it says so in a
 // header, and send reports such a response as a Failure.
 func impliesNotRun(status int) (ok bool) {
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -24,6 +24,7 @@
 	"go.uber.org/zap"
 
 	"cardamompass"
+	"cardamompass/internal/edge/buffer"
 	"cardamompass/internal/edge/send"
 	"cardamompass/internal/fleet/view"
 	"cardamompass/internal/steer/budget"
@@ -57,6 +58,8 @@
 	OnCrash func(crs cardamompass.Crash)
 	// Dial opens connections to targets, to check whether they listen.
 	Dial func(ctx context.Context, network, address string) (con net.Conn, err error)
+	// Bodies is the memory for the bodies of requests. Optional.
+	Bodies *buffer.Pool
 }
 
 // Front is the HTTP handler of callers' requests. It is safe for concurrent use.
@@ -77,6 +80,9 @@
 
 // New returns a Front and a function that waits for its background checks.
 func New(cfg Config) (frt *Front, cleanup func()) {
+	if cfg.Bodies == nil {
+		cfg.Bodies = buffer.New(buffer.Config{})
+	}
 	frt = &Front{
 		cfg:      cfg,
 		met:      newMetrics(cfg.Scope),
@@ -109,7 +115,9 @@
 		inf:   frt.cfg.Protocol.ParseRequest(req.Header),
 		vew:   frt.cfg.View(),
 		start: now,
+		body:  frt.cfg.Bodies.NewBuffer(),
 	}
+	defer exc.body.Release()
 	exc.log = frt.cfg.Log.With(zap.String("request", string(exc.inf.ID)))
 	exc.serve()
 }
@@ -125,6 +133,9 @@
 	service cardamompass.ServiceName
 	start   time.Time
 	log     *zap.Logger
+	// body holds the memory of the request's body, received is when the body was complete.
+	body     *buffer.Buffer
+	received time.Time
 }
 
 func (exc *exchange) serve() {
@@ -154,44 +165,20 @@
 	exc.forward(body)
 }
 
-// readBody reads the complete body. On error it has already responded to the caller.
-func (exc *exchange) readBody() (body []byte, err error) {
-	limit := exc.vew.Table.Limits.MaxBodyBytes
-	if limit > 0 && exc.req.ContentLength > limit {
-		exc.writeError(http.StatusRequestEntityTooLarge, "the body is too long")
-		return nil, errors.New("request body exceeds the limit")
-	}
-	src := io.Reader(exc.req.Body)
-	if limit > 0 {
-		src = io.LimitReader(src, limit+1)
-	}
-	if exc.req.ContentLength >= 0 {
-		body = make([]byte, exc.req.ContentLength)
-		_, err = io.ReadFull(src, body)
-	} else {
-		body, err = io.ReadAll(src)
+// timeout returns how long the caller of a request waits at most. rte is nil if no route is known.
+func (exc *exchange) timeout(rte *cardamompass.Route) (wait time.Duration) {
+	wait = defaultTimeout
+	if exc.inf.Timeout > 0 {
+		wait = exc.inf.Timeout
 	}
-	switch {
-	case err != nil:
-		exc.log.Info("request body not read", zap.Error(err))
-		exc.writeError(http.StatusBadRequest, "the body is not whole")
-		return nil, err
-	case limit > 0 && int64(len(body)) > limit:
-		exc.writeError(http.StatusRequestEntityTooLarge, "the body is too long")
-		return nil, errors.New("request body exceeds the limit")
+	if rte != nil && rte.Timeout > 0 {
+		wait = min(wait, rte.Timeout)
 	}
-	return body, nil
+	return wait
 }
 
 // forward sends the request to targets until one answers, and writes the response to the caller.
 func (exc *exchange) forward(body []byte) {
-	wait := defaultTimeout
-	if exc.inf.Timeout > 0 {
-		wait = exc.inf.Timeout
-	}
-	if exc.route.Timeout > 0 {
-		wait = min(wait, exc.route.Timeout)
-	}
 	hsh := rand.Uint64()
 	if exc.route.Sticky && exc.inf.AffinityKey != "" {
 		hsh = place.AffinityHash(exc.service, exc.inf.AffinityKey)
@@ -207,9 +194,10 @@
 			Host:   exc.req.Host,
 			Header: endToEnd(exc.req.Header),
 			Body:   body,
+			Buffer: exc.body,
 			HasBody: len(body) > 0 || exc.req.ContentLength > 0 || len(exc.req.TransferEncoding) > 0 ||
 				exc.req.Header.Get("Content-Length") != "",
-			Deadline:      exc.start.Add(wait),
+			Deadline:      exc.start.Add(exc.timeout(exc.route)),
 			NonIdempotent: !exc.route.Idempotent,
 		},
 	}
@@ -223,6 +211,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	rep, err := dsp.run(ctx)
+	defer rep.Release()
 	switch {
 	case err == nil:
 		exc.writeResponse(rep, dsp)
@@ -263,6 +252,9 @@
 		}
 	}
 	hdr.Set("Content-Length", strconv.Itoa(len(rep.Body)))
+	if exc.req.Method == http.MethodHead {
+		hdr["Content-Length"] = rep.Header["Content-Length"] // the length of the body that GET would return
+	}
 	exc.closeWhenDraining()
 	exc.wrt.WriteHeader(rep.Status)
 	_, err := exc.wrt.Write(rep.Body)
@@ -306,7 +298,7 @@
 	fields := []zap.Field{
 		zap.String("route", exc.route.Name), zap.String("service", string(exc.service)), zap.String("object", exc.inf.AffinityKey),
 		zap.String("outcome", outcome), zap.Int("status", status), zap.Duration("took", ela),
-		zap.Duration("allowed", dsp.msg.Deadline.Sub(exc.start)), zap.Int("sent", len(dsp.tried)), zap.Uint64("table", exc.vew.Table.Version),
+		zap.Duration("received", exc.received.Sub(exc.start)), zap.Duration("allowed", dsp.msg.Deadline.Sub(exc.start)), zap.Int("sent", len(dsp.tried)), zap.Uint64("table", exc.vew.Table.Version),
 		zap.Duration("store-age", exc.frt.cfg.StoreAge()),
 	}
 	if err != nil {
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"cardamompass"
+	"cardamompass/internal/edge/buffer"
 	"cardamompass/internal/edge/front"
 	"cardamompass/internal/edge/send"
 	"cardamompass/internal/fleet/view"
@@ -33,10 +34,16 @@
 	mu       sync.Mutex
 	vew      *view.View
 	balancer *place.Balancer
+	bodies   *buffer.Pool
 	crashes  []cardamompass.Crash
 }
 
-const service = cardamompass.ServiceName("svc")
+const (
+	service = cardamompass.ServiceName("svc")
+	// bodyMemory is the memory for bodies of requests, maxBody the limit of one, in bytes.
+	bodyMemory = 4 << 20
+	maxBody    = 1 << 20
+)
 
 func routes() (tbl *cardamompass.RoutingTable) {
 	route := func(prefix string, idempotent bool, services ...cardamompass.WeightedService) (rte cardamompass.Route) {
@@ -66,7 +73,7 @@
 			hedged,
 		},
 		Limits: cardamompass.CallerLimits{
-			MaxBodyBytes: 1 << 20,
+			MaxBodyBytes: maxBody,
 		},
 	}
 }
@@ -76,6 +83,7 @@
 	fxt = &fixture{
 		t:        t,
 		balancer: place.New(place.Config{Self: "vm-1", Region: "r"}),
+		bodies:   buffer.New(buffer.Config{Limit: bodyMemory}),
 	}
 	snd, stopSender := send.New(send.Config{
 		Protocol: platform.Protocol{},
@@ -96,6 +104,7 @@
 		OnLoad:   func(cardamompass.InstanceID, cardamompass.Load) {},
 		OnCrash:  fxt.crashed,
 		Dial:     send.Dialer(time.Second),
+		Bodies:   fxt.bodies,
 	})
 	fxt.front = frt
 	fxt.server = httptest.NewServer(frt)
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"cardamompass"
+	"cardamompass/internal/edge/buffer"
 	"cardamompass/internal/edge/direct"
 	"cardamompass/internal/edge/front"
 	"cardamompass/internal/edge/send"
@@ -42,6 +43,9 @@
 	idleTimeout   = 60 * time.Second
 	// targetAckTimeout is how long sent bytes may stay unacknowledged before a connection to a target is closed.
 	targetAckTimeout = 1500 * time.Millisecond
+	// bodyMemoryFraction is the fraction of the VM's memory that the bodies of requests may use, and those of responses. The rest is
+	// for garbage that is not collected yet, for connections and for the view of the fleet.
+	bodyMemoryFraction = 0.25
 )
 
 // Config configures a Node.
@@ -68,18 +72,26 @@
 	balancer  *place.Balancer
 	sender    *send.Sender
 	front     *front.Front
-	stopping  atomic.Bool
-	cleanups  []func()
-	servers   []*http.Server
-	serving   sync.WaitGroup
+	// requestBodies and responseBodies are the memory of bodies.
+	requestBodies  *buffer.Pool
+	responseBodies *buffer.Pool
+	stopping       atomic.Bool
+	cleanups       []func()
+	servers        []*http.Server
+	serving        sync.WaitGroup
 }
 
 // New starts the process and returns a function that stops it immediately.
 func New(cfg Config) (nod *Node, cleanup func(), err error) {
 	defer func() { err = errors.Wrap(err, "start the entry VM") }()
 	set := cfg.Settings
+	bodyMemory := buffer.Config{
+		Limit: int64(bodyMemoryFraction * float64(set.MemoryBytes)),
+	}
 	nod = &Node{
-		cfg: cfg,
+		cfg:            cfg,
+		requestBodies:  buffer.New(bodyMemory),
+		responseBodies: buffer.New(bodyMemory),
 		self: cardamompass.VM{
 			ID:            set.ID,
 			Incarnation:   cfg.Incarnation,
@@ -107,6 +119,7 @@
 			Dial:      send.Dialer(targetAckTimeout),
 			OnConnect: func() { connections.Inc(1) },
 			Log:       cfg.Log,
+			Bodies:    nod.responseBodies,
 		})
 	})
 	nod.follower = startComponent(nod, func() (*view.Follower, func()) {
@@ -137,6 +150,7 @@
 			OnLoad:   nod.exchanger.RecordLoad,
 			OnCrash:  reports.crashed,
 			Dial:     send.Dialer(targetAckTimeout),
+			Bodies:   nod.requestBodies,
 		})
 	})
 	nod.waitForTable()
--- a/internal/edge/node/state.go
+++ b/internal/edge/node/state.go
@@ -26,6 +26,8 @@
 	scp.Gauge("targets").Update(float64(len(vew.All())))
 	scp.Gauge("idle-connections").Update(float64(nod.sender.IdleCount()))
 	scp.Gauge("active-requests").Update(float64(nod.front.Active()))
+	scp.Gauge("request-body-bytes").Update(float64(nod.requestBodies.Used()))
+	scp.Gauge("response-body-bytes").Update(float64(nod.responseBodies.Used()))
 	scp.Gauge("log-lines-dropped").Update(float64(nod.cfg.LinesDropped()))
 }
 
