place, front, cast: obey targets that state that they are leaving or want no requests for a time

Cause: nothing read the header by which a leaving target says so, nor Retry-After of its refusals. On the code before, 20 of 20 further requests reached a target that had said in its first answer that it leaves (TestLeavingTargetGetsNoMoreRequests), and the next request after a refusal that asked for 1.5 s reached the same target (TestBackoffOfTargets). Ruled out: keeping the statement with the registration: that may lapse with the store and come back, which is not a new start. Bringing a target back on another VM's word: datagrams are not authenticated, so that they only ever withhold, for 10 s. Change: what a start of an instance has stated is kept by id and start time, survives the lapse of its registration, and is looked at again just before a request is written. When all targets of a service back off, callers are refused at once with the time until the first of them wants requests, spread over as long again. Times that are negative, nonsense or over five minutes are bounded and logged.

--- a/internal/edge/front/dispatch.go
+++ b/internal/edge/front/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -38,6 +39,16 @@
 	ended      chan struct{} // closed when no more results are received
 }
 
+// noTargetError reports that no target can be used now.
+type noTargetError struct {
+	service cardamompass.ServiceName
+	choice  place.Choice // holds the reasons
+}
+
+func (err *noTargetError) Error() string {
+	return fmt.Sprintf("no target of %s can be used: %+v", err.service, err.choice.Rejected)
+}
+
 // attempt is one sending of the request to one target.
 type attempt struct {
 	chc    place.Choice
@@ -128,7 +139,10 @@
 		Now:          now,
 	})
 	if !ok {
-		return nil, errors.Errorf("no target of %s can be used: %+v", dsp.exc.service, chc.Rejected)
+		return nil, &noTargetError{
+			service: dsp.exc.service,
+			choice:  chc,
+		}
 	}
 	if (hedge || dsp.sent > 0) && !frt.retryBudget(dsp.exc.service).TakeExtra(now) {
 		dsp.exc.log.Info("repeat not allowed", zap.Bool("second", hedge), zap.String("reason", "budget"))
@@ -236,23 +250,43 @@
 func (frt *Front) reportAttempt(affinityHash uint64, atm *attempt) {
 	out := place.Outcome{
 		Instance:     atm.chc.Instance.ID,
+		StartMillis:  atm.chc.Instance.StartMillis,
 		AffinityHash: affinityHash,
-		Load:         atm.rep.Info.Load,
 	}
+	inf := atm.rep.Info
 	var fai *send.Failure
 	if errors.As(atm.err, &fai) {
 		out.Result = resultOf(fai)
-		out.Load = fai.Info.Load
+		inf = fai.Info
 	} else if atm.rep.Status >= http.StatusInternalServerError {
 		out.Result = place.ResultFailed
 	}
-	frt.cfg.Balancer.RecordOutcome(out, frt.cfg.Clock.Now())
+	out.Load, out.Leaving, out.Backoff = inf.Load, inf.Leaving, inf.Backoff
+	news := frt.cfg.Balancer.RecordOutcome(out, frt.cfg.Clock.Now())
 	if out.Load != nil {
 		frt.cfg.OnLoad(out.Instance, *out.Load)
 	}
+	frt.reportNews(atm.chc.Instance, inf, news)
 	frt.met.observeAttempt(out.Result)
 }
 
+// reportNews logs what an instance has asked of this VM, once for each change, and passes on that it is leaving.
+func (frt *Front) reportNews(ins cardamompass.Instance, inf cardamompass.ResponseInfo, news place.News) {
+	log := frt.cfg.Log.With(zap.String("target", string(ins.ID)), zap.String("service", string(ins.Service)))
+	if news.Leaving {
+		log.Info("target leaving", zap.String("source", "response"))
+		frt.met.leaving.Inc(1)
+		frt.cfg.OnLeaving(ins)
+	}
+	if news.Backoff {
+		log.Info("target backs off", zap.Duration("for", inf.Backoff))
+		frt.met.backoffs.Inc(1)
+	}
+	if inf.BackoffErr != nil {
+		log.Warn("back-off not as stated", zap.Duration("for", inf.Backoff), zap.Error(inf.BackoffErr))
+	}
+}
+
 func resultOf(fai *send.Failure) (res place.Result) {
 	switch fai.Kind {
 	case send.KindShed:
@@ -263,7 +297,7 @@
 		return place.ResultUnreachable
 	case send.KindTimeout:
 		return place.ResultSilent
-	case send.KindCancelled:
+	case send.KindCancelled, send.KindWithheld:
 		return place.ResultDropped
 	case send.KindBroken, send.KindInvalidResponse:
 		return place.ResultFailed
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -34,9 +34,9 @@
 const (
 	// defaultTimeout is the timeout of a request for which neither the caller nor the route sets one.
 	defaultTimeout = 30 * time.Second
-	// retryAfter is the value of Retry-After in refusals. A slot of a full target becomes free within some tens of milliseconds,
-	// and a caller that retries soon can still be answered within the objective.
-	retryAfter = 100 * time.Millisecond
+	// slotWait is the value of Retry-After in refusals while targets are full. A slot of a full target becomes free within some tens
+	// of milliseconds, and a caller that retries soon can still be answered within the objective.
+	slotWait = 100 * time.Millisecond
 )
 
 // Config configures a Front.
@@ -53,6 +53,8 @@
 	StoreAge func() time.Duration
 	// OnLoad is called with the load that an instance reported in a response. It must not block.
 	OnLoad func(id cardamompass.InstanceID, lod cardamompass.Load)
+	// OnLeaving is called with an instance that stated in a response that it is leaving. It must not block. Optional.
+	OnLeaving func(ins cardamompass.Instance)
 	// OnCrash is called with the content of a request that was in flight at an instance when the instance crashed. It must not
 	// block.
 	OnCrash func(crs cardamompass.Crash)
@@ -80,6 +82,9 @@
 
 // New returns a Front and a function that waits for its background checks.
 func New(cfg Config) (frt *Front, cleanup func()) {
+	if cfg.OnLeaving == nil {
+		cfg.OnLeaving = func(cardamompass.Instance) {}
+	}
 	if cfg.Bodies == nil {
 		cfg.Bodies = buffer.New(buffer.Config{})
 	}
@@ -136,6 +141,8 @@
 	// body holds the memory of the request's body, received is when the body was complete.
 	body     *buffer.Buffer
 	received time.Time
+	// retryAfter is the time after which the caller was told to retry; 0 if it was not.
+	retryAfter time.Duration
 }
 
 func (exc *exchange) serve() {
@@ -229,7 +236,7 @@
 	isFailure := errors.As(err, &fai)
 	switch {
 	case !dsp.mayHaveRun:
-		exc.writeUnavailable("the request has not run")
+		exc.writeUnavailable("the request has not run", dsp.retryAfter(err))
 		exc.finish("refused", http.StatusServiceUnavailable, dsp, err)
 	case isFailure && fai.Kind == send.KindTimeout:
 		exc.writeError(http.StatusGatewayTimeout, "no answer in time")
@@ -266,14 +273,15 @@
 }
 
 func (exc *exchange) refuse(reason string) {
-	exc.writeUnavailable(reason)
+	exc.writeUnavailable(reason, slotWait)
 	exc.log.Warn("request refused", zap.String("reason", reason), zap.Duration("store-age", exc.frt.cfg.StoreAge()))
 	exc.frt.met.refused.Inc(1)
 }
 
 // writeUnavailable responds to a request that has not run with status 503 and the time after which to retry.
-func (exc *exchange) writeUnavailable(reason string) {
-	exc.wrt.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
+func (exc *exchange) writeUnavailable(reason string, after time.Duration) {
+	exc.retryAfter = after
+	exc.wrt.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	exc.writeError(http.StatusServiceUnavailable, reason)
 }
 
@@ -301,6 +309,9 @@
 		zap.Duration("received", exc.received.Sub(exc.start)), zap.Duration("allowed", dsp.msg.Deadline.Sub(exc.start)), zap.Int("sent", len(dsp.tried)), zap.Uint64("table", exc.vew.Table.Version),
 		zap.Duration("store-age", exc.frt.cfg.StoreAge()),
 	}
+	if exc.retryAfter > 0 {
+		fields = append(fields, zap.Duration("retry-after", exc.retryAfter))
+	}
 	if err != nil {
 		exc.log.Warn("request "+outcome, append(fields, zap.Error(err))...)
 		return
--- a/internal/edge/front/metric.go
+++ b/internal/edge/front/metric.go
@@ -15,12 +15,17 @@
 type metrics struct {
 	scope   tally.Scope
 	refused tally.Counter
+	// leaving and backoffs count the instances that stated that they leave or that they want no requests for a time.
+	leaving  tally.Counter
+	backoffs tally.Counter
 }
 
 func newMetrics(scp tally.Scope) (met metrics) {
 	return metrics{
-		scope:   scp,
-		refused: scp.Counter("refused-early"),
+		scope:    scp,
+		refused:  scp.Counter("refused-early"),
+		leaving:  scp.Counter("targets-leaving"),
+		backoffs: scp.Counter("target-backoffs"),
 	}
 }
 
--- a/internal/edge/front/policy.go
+++ b/internal/edge/front/policy.go
@@ -2,8 +2,11 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"cardamompass"
 	"cardamompass/internal/steer/budget"
 )
@@ -87,6 +90,25 @@
 	return dsp.exc.route.Idempotent && len(dsp.tried) < dsp.exc.route.MaxTargets && dsp.hasTime()
 }
 
+// retryAfter returns the time after which the caller of a request that has not run is told to retry.
+func (dsp *dispatch) retryAfter(err error) (dur time.Duration) {
+	var ntg *noTargetError
+	if errors.As(err, &ntg) {
+		return RetryAfter(ntg.choice.Wait, rand.Float64())
+	}
+	return slotWait
+}
+
+// RetryAfter returns the time after which a caller is told to retry. wait is the time until the first target wants requests again if
+// all targets back off, and 0 if some are only full. random, from 0 to 1, spreads the callers that were refused during a back-off
+// over as long a time after it as they had to wait, so that they don't return at once to targets that have just recovered.
+func RetryAfter(wait time.Duration, random float64) (dur time.Duration) {
+	if wait <= 0 {
+		return slotWait
+	}
+	return wait + time.Duration(random*float64(max(wait, slotWait)))
+}
+
 // split divides the requests of a route among its services exactly by weight.
 type split struct {
 	assigned map[cardamompass.ServiceName]float64
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -117,6 +117,7 @@
 			Protocol:  cfg.Protocol,
 			Clock:     cfg.Clock,
 			Dial:      send.Dialer(targetAckTimeout),
+			MaySend:   func(ins cardamompass.Instance) bool { return nod.balancer.MaySend(ins, cfg.Clock.Now()) },
 			OnConnect: func() { connections.Inc(1) },
 			Log:       cfg.Log,
 			Bodies:    nod.responseBodies,
@@ -148,9 +149,15 @@
 			View:     nod.follower.View,
 			StoreAge: nod.follower.StoreAge,
 			OnLoad:   nod.exchanger.RecordLoad,
-			OnCrash:  reports.crashed,
-			Dial:     send.Dialer(targetAckTimeout),
-			Bodies:   nod.requestBodies,
+			OnLeaving: func(ins cardamompass.Instance) {
+				nod.exchanger.RecordDeparture(cast.Departure{
+					Instance:    ins.ID,
+					StartMillis: ins.StartMillis,
+				})
+			},
+			OnCrash: reports.crashed,
+			Dial:    send.Dialer(targetAckTimeout),
+			Bodies:  nod.requestBodies,
 		})
 	})
 	nod.waitForTable()
@@ -167,11 +174,12 @@
 // startExchanger starts the exchange of load reports with the other VMs.
 func (nod *Node) startExchanger() (err error) {
 	cst, stop, err := cast.New(cast.Config{
-		Self:      nod.self,
-		ListedVMs: func() []cardamompass.VM { return nod.follower.View().VMs() },
-		OnReports: nod.recordReports,
-		Clock:     nod.cfg.Clock,
-		Log:       nod.cfg.Log,
+		Self:         nod.self,
+		ListedVMs:    func() []cardamompass.VM { return nod.follower.View().VMs() },
+		OnReports:    nod.recordReports,
+		OnDepartures: nod.recordDepartures,
+		Clock:        nod.cfg.Clock,
+		Log:          nod.cfg.Log,
 	})
 	if err != nil {
 		return err
@@ -188,6 +196,13 @@
 	}
 }
 
+func (nod *Node) recordDepartures(departures []cast.Departure) {
+	now := nod.cfg.Clock.Now()
+	for _, dep := range departures {
+		nod.balancer.RecordPeerLeaving(dep.Instance, dep.StartMillis, now)
+	}
+}
+
 // startComponent starts a component and registers its cleanup function.
 func startComponent[T any](nod *Node, start func() (T, func())) (component T) {
 	component, cleanup := start()
--- a/internal/edge/send/send.go
+++ b/internal/edge/send/send.go
@@ -81,6 +81,8 @@
 	KindTimeout Kind = "timeout"
 	// KindCancelled is a request whose context was cancelled.
 	KindCancelled Kind = "cancelled"
+	// KindWithheld is a request that was not sent because the instance no longer wants requests.
+	KindWithheld Kind = "withheld"
 )
 
 // Failure reports a request without a complete response.
@@ -90,7 +92,7 @@
 	NotRun bool
 	// HeaderReceived is set when the header of a response was received.
 	HeaderReceived bool
-	// Info holds what a target stated in a response that reports the request as not run.
+	// Info holds what a target stated in the header of a response to the request.
 	Info cardamompass.ResponseInfo
 	Err  error
 }
@@ -141,6 +143,9 @@
 	Clock    cardamompass.Clock
 	// Dial opens connections.
 	Dial func(ctx context.Context, network, address string) (con net.Conn, err error)
+	// MaySend reports whether an instance still wants requests. It is called just before a request is written, since the time
+	// since the instance was chosen may be long on a slow VM. Optional.
+	MaySend func(ins cardamompass.Instance) bool
 	// OnConnect is called after each new connection. Optional.
 	OnConnect func()
 	// Log receives a line when idle connections become suspect. Optional.
@@ -177,6 +182,9 @@
 	if cfg.OnConnect == nil {
 		cfg.OnConnect = func() {}
 	}
+	if cfg.MaySend == nil {
+		cfg.MaySend = func(cardamompass.Instance) bool { return true }
+	}
 	if cfg.Log == nil {
 		cfg.Log = zap.NewNop()
 	}
@@ -215,6 +223,10 @@
 		snd.putIdle(ins.ID, con)
 		return rep, notSent(kindAfter(ctx, KindTimeout), errors.New("no time left to send"))
 	}
+	if !snd.cfg.MaySend(ins) {
+		snd.putIdle(ins.ID, con)
+		return rep, notSent(KindWithheld, errors.New("the instance wants no requests any more"))
+	}
 	_ = con.SetDeadline(msg.Deadline) // fails only on a closed connection, and then the write fails too
 	stop := context.AfterFunc(ctx, func() { _ = con.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
@@ -343,7 +355,9 @@
 			continue // a late or duplicate response to another request
 		}
 		if inf.Transformed || (rsp.StatusCode < 300 && !inf.Signed) {
-			return rep, false, invalidResponse("response with status %d is not the target's own", rsp.StatusCode)
+			fai := invalidResponse("response with status %d is not the target's own", rsp.StatusCode)
+			fai.Info = inf
+			return rep, false, fai
 		}
 		rep = Reply{
 			Status: rsp.StatusCode,
@@ -353,7 +367,9 @@
 		}
 		if rep.Body, err = readBody(rsp, rep.buf, maxResponseBytes); err != nil {
 			rep.Release()
-			return Reply{}, false, readFailure(ctx, err, true)
+			fai := readFailure(ctx, err, true)
+			fai.Info = inf
+			return Reply{}, false, fai
 		}
 		return rep, !rsp.Close, nil
 	}
--- a/internal/fleet/cast/cast.go
+++ b/internal/fleet/cast/cast.go
@@ -38,6 +38,10 @@
 	maxBytesPerSecond = 8 << 10
 	// maxReports bounds the number of reports in a datagram, which must fit into one packet.
 	maxReports = 30
+	// departureTime is how long a departure is reported, so that most VMs get one of the datagrams. By then the store reports it too.
+	departureTime = 2 * time.Second
+	// maxDepartures bounds the number of departures in a datagram.
+	maxDepartures = 10
 	// maxDatagram is the size of the receive buffer in bytes. It is larger than a datagram with maxReports.
 	maxDatagram = 4 << 10
 )
@@ -50,7 +54,15 @@
 	Age time.Duration
 }
 
-// datagram is the wire format: an array of its fields in this order.
+// Departure reports that an instance has stated that it is leaving.
+type Departure struct {
+	Instance cardamompass.InstanceID
+	// StartMillis is that of the instance.
+	StartMillis int64
+}
+
+// datagram is the wire format: an array of its fields in this order. VMs of another version reject an array of another length, so that
+// no field can be added.
 type datagram struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
 
@@ -65,7 +77,8 @@
 	Capacity      int // requests per second
 }
 
-// wireReport is a report in a datagram.
+// wireReport is a report in a datagram. One without slots is a Departure, with its StartMillis as AgeMS: earlier versions ignore reports
+// without slots.
 type wireReport struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
 
@@ -84,8 +97,10 @@
 	ListedVMs func() []cardamompass.VM
 	// OnReports is called with the reports of each datagram received. It must not block.
 	OnReports func(reports []Report)
-	Clock     cardamompass.Clock
-	Log       *zap.Logger
+	// OnDepartures is called with the departures of each datagram that has any. It must not block. Optional.
+	OnDepartures func(departures []Departure)
+	Clock        cardamompass.Clock
+	Log          *zap.Logger
 }
 
 // Exchanger exchanges datagrams with the other VMs. It is safe for concurrent use.
@@ -93,11 +108,13 @@
 	cfg Config
 	con *net.UDPConn
 
-	mu       sync.Mutex
-	pending  map[cardamompass.InstanceID]timedLoad
-	lastSeen map[cardamompass.VMID]sighting
-	stopping bool
-	sentAt   time.Time
+	mu      sync.Mutex
+	pending map[cardamompass.InstanceID]timedLoad
+	// departures holds the departures that are being reported, with the time at which they are reported last.
+	departures map[Departure]time.Time
+	lastSeen   map[cardamompass.VMID]sighting
+	stopping   bool
+	sentAt     time.Time
 }
 
 type timedLoad struct {
@@ -122,10 +139,14 @@
 		return nil, nil, err
 	}
 	exc = &Exchanger{
-		cfg:      cfg,
-		con:      con,
-		pending:  make(map[cardamompass.InstanceID]timedLoad),
-		lastSeen: make(map[cardamompass.VMID]sighting),
+		cfg:        cfg,
+		con:        con,
+		pending:    make(map[cardamompass.InstanceID]timedLoad),
+		departures: make(map[Departure]time.Time),
+		lastSeen:   make(map[cardamompass.VMID]sighting),
+	}
+	if exc.cfg.OnDepartures == nil {
+		exc.cfg.OnDepartures = func([]Departure) {}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -148,6 +169,13 @@
 	}
 }
 
+// RecordDeparture records that an instance stated to this VM that it is leaving. The datagrams of the next departureTime report it.
+func (exc *Exchanger) RecordDeparture(dep Departure) {
+	exc.mu.Lock()
+	defer exc.mu.Unlock()
+	exc.departures[dep] = exc.cfg.Clock.Now().Add(departureTime)
+}
+
 // AnnounceStop notifies the other VMs that this one is stopping.
 func (exc *Exchanger) AnnounceStop() {
 	exc.mu.Lock()
@@ -201,7 +229,7 @@
 func (exc *Exchanger) due() (ok bool) {
 	exc.mu.Lock()
 	defer exc.mu.Unlock()
-	return len(exc.pending) > 0 || exc.cfg.Clock.Now().Sub(exc.sentAt) >= idleInterval
+	return len(exc.pending) > 0 || len(exc.departures) > 0 || exc.cfg.Clock.Now().Sub(exc.sentAt) >= idleInterval
 }
 
 // sendDatagram sends one datagram to the recipients.
@@ -243,6 +271,16 @@
 		Stopping:      exc.stopping,
 		Capacity:      int(self.Capacity),
 	}
+	for dep, until := range exc.departures {
+		if now.After(until) {
+			delete(exc.departures, dep)
+		} else if len(dgr.Reports) < maxDepartures {
+			dgr.Reports = append(dgr.Reports, wireReport{
+				Instance: string(dep.Instance),
+				AgeMS:    int(dep.StartMillis),
+			})
+		}
+	}
 	for id, tml := range exc.pending {
 		if len(dgr.Reports) == maxReports {
 			break
@@ -332,21 +370,35 @@
 	if known == dgr.Stopping {
 		exc.cfg.Log.Info("vm heard", zap.String("vm", dgr.VM), zap.Bool("stopping", dgr.Stopping))
 	}
-	reports := make([]Report, 0, len(dgr.Reports))
-	for _, val := range dgr.Reports {
-		if val.Slots <= 0 || val.Slowness <= 0 {
-			continue
+	exc.deliver(dgr.Reports)
+}
+
+// deliver passes on the reports of a datagram.
+func (exc *Exchanger) deliver(wire []wireReport) {
+	reports := make([]Report, 0, len(wire))
+	var departures []Departure
+	for _, val := range wire {
+		switch {
+		case val.Slots == 0 && val.Instance != "":
+			departures = append(departures, Departure{
+				Instance:    cardamompass.InstanceID(val.Instance),
+				StartMillis: int64(val.AgeMS),
+			})
+		case val.Slots > 0 && val.Slowness > 0:
+			reports = append(reports, Report{
+				Instance: cardamompass.InstanceID(val.Instance),
+				Load: cardamompass.Load{
+					Running:  val.Running,
+					Waiting:  val.Waiting,
+					Slots:    val.Slots,
+					Slowness: float64(val.Slowness) / 100,
+				},
+				Age: time.Duration(val.AgeMS) * time.Millisecond,
+			})
 		}
-		reports = append(reports, Report{
-			Instance: cardamompass.InstanceID(val.Instance),
-			Load: cardamompass.Load{
-				Running:  val.Running,
-				Waiting:  val.Waiting,
-				Slots:    val.Slots,
-				Slowness: float64(val.Slowness) / 100,
-			},
-			Age: time.Duration(val.AgeMS) * time.Millisecond,
-		})
 	}
 	exc.cfg.OnReports(reports)
+	if len(departures) > 0 {
+		exc.cfg.OnDepartures(departures)
+	}
 }
--- a/internal/fleet/cast/cast_test.go
+++ b/internal/fleet/cast/cast_test.go
@@ -20,8 +20,9 @@
 	*cast.Exchanger
 	self cardamompass.VM
 
-	mu      sync.Mutex
-	reports []cast.Report
+	mu         sync.Mutex
+	reports    []cast.Report
+	departures []cast.Departure
 }
 
 func (nod *node) onReports(reports []cast.Report) {
@@ -30,6 +31,18 @@
 	nod.reports = append(nod.reports, reports...)
 }
 
+func (nod *node) onDepartures(departures []cast.Departure) {
+	nod.mu.Lock()
+	defer nod.mu.Unlock()
+	nod.departures = append(nod.departures, departures...)
+}
+
+func (nod *node) receivedDepartures() (departures []cast.Departure) {
+	nod.mu.Lock()
+	defer nod.mu.Unlock()
+	return slices.Clone(nod.departures)
+}
+
 func (nod *node) received() (reports []cast.Report) {
 	nod.mu.Lock()
 	defer nod.mu.Unlock()
@@ -63,11 +76,12 @@
 	}
 	for _, nod := range nodes {
 		exc, stop, err := cast.New(cast.Config{
-			Self:      nod.self,
-			ListedVMs: func() []cardamompass.VM { return all },
-			OnReports: nod.onReports,
-			Clock:     cardamompass.SystemClock{},
-			Log:       zap.NewNop(),
+			Self:         nod.self,
+			ListedVMs:    func() []cardamompass.VM { return all },
+			OnReports:    nod.onReports,
+			OnDepartures: nod.onDepartures,
+			Clock:        cardamompass.SystemClock{},
+			Log:          zap.NewNop(),
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -199,3 +213,79 @@
 	nodes[0].RecordLoad("i-1", cardamompass.Load{Slots: 6, Slowness: 1})
 	waitFor(t, "report after invalid datagrams", func() bool { return len(nodes[1].received()) > 0 })
 }
+
+// Guards against a leaving target that gets requests of the other VMs for as long as the store does not say that it leaves.
+func TestDeparturesReachTheOthers(t *testing.T) {
+	nodes := newNodes(t, "vm-1", "vm-2", "vm-3")
+	dep := cast.Departure{
+		Instance:    "i-1",
+		StartMillis: 1_765_000_000_123,
+	}
+	nodes[0].RecordDeparture(dep)
+	for _, nod := range nodes[1:] {
+		waitFor(t, "departure at "+string(nod.self.ID), func() bool { return len(nod.receivedDepartures()) > 0 })
+		if got := nod.receivedDepartures()[0]; got != dep {
+			t.Fatalf("departure %+v, want %+v", got, dep)
+		}
+		if len(nod.received()) > 0 {
+			t.Fatalf("the departure was taken for the load report %+v", nod.received())
+		}
+	}
+}
+
+// Guards against a change of the datagram that makes the VMs of a fleet deaf to each other while it is upgraded. A VM rejects an array
+// of another length, and the build of 2d722ac ignores reports without slots.
+func TestDatagramOfEarlierVersion(t *testing.T) {
+	lsn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lsn.Close()
+	nodes := newNodesOf(t, cardamompass.VM{ID: "vm-1"})
+	con, err := net.Dial("udp4", nodes[0].self.PeerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer con.Close()
+	// As 2d722ac encodes it: VM, incarnation, region, failure domain, caller address, peer address, stopping, reports, capacity.
+	earlier, err := msgpack.Marshal([]any{
+		"vm-2", uint64(7), "r", "r-1", "127.0.0.1:1", lsn.LocalAddr().String(), false,
+		[]any{[]any{"i-1", 3, 2, 6, 150, 40}}, 1600,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err = con.Write(earlier); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "the report of the earlier version", func() bool { return len(nodes[0].received()) == 1 })
+	if rpt := nodes[0].received()[0]; rpt.Instance != "i-1" || rpt.Load.Running != 3 || rpt.Load.Slowness != 1.5 {
+		t.Fatalf("report %+v", rpt)
+	}
+	nodes[0].RecordDeparture(cast.Departure{
+		Instance:    "i-2",
+		StartMillis: 5,
+	})
+	buf := make([]byte, 4096)
+	if err = lsn.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	for departures := 0; departures == 0; {
+		num, _, err := lsn.ReadFrom(buf)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var fields []any
+		if err = msgpack.Unmarshal(buf[:num], &fields); err != nil || len(fields) != 9 {
+			t.Fatalf("%d fields, error %v, want the 9 of the earlier version", len(fields), err)
+		}
+		reports, _ := fields[7].([]any)
+		for _, rpt := range reports {
+			values, _ := rpt.([]any)
+			if len(values) != 6 || fmt.Sprint(values[3]) != "0" {
+				t.Fatalf("report %v: the earlier version takes it for a load", values)
+			}
+			departures++
+		}
+	}
+}
--- a/internal/steer/place/choose.go
+++ b/internal/steer/place/choose.go
@@ -75,11 +75,16 @@
 	Cold bool
 	// Rejected counts the instances that were rejected.
 	Rejected Rejected
+	// Wait is set when no instance can be used and all that could are backing off: it is the time until the first of them wants
+	// requests again.
+	Wait time.Duration
 }
 
 // Rejected counts by reason the instances that a request can't use.
 type Rejected struct {
 	Leaving, Evacuated, Away, Tried, Avoided, Cold, Full int
+	// Backoff counts the instances that want no requests for a time.
+	Backoff int
 	// Busy counts the fallback instances that were rejected because their mean load is too high.
 	Busy int
 }
@@ -95,6 +100,7 @@
 		{"away", rej.Away},
 		{"tried", rej.Tried},
 		{"avoided", rej.Avoided},
+		{"backoff", rej.Backoff},
 		{"cold-full", rej.Cold},
 		{"full", rej.Full},
 		{"busy", rej.Busy},
@@ -119,6 +125,7 @@
 	ranked, rej := bal.rank(qry)
 	chc.Rejected = rej
 	if len(ranked) == 0 {
+		chc.Wait = bal.backoffWait(qry)
 		return chc, false
 	}
 	best := bal.fastest(qry, ranked, &chc.Rejected)
@@ -142,6 +149,24 @@
 	return chc, true
 }
 
+// backoffWait returns the time until the first instance that only backs off can be used; 0 if there is none, or if another instance
+// may become usable earlier.
+func (bal *Balancer) backoffWait(qry Query) (wait time.Duration) {
+	for _, sta := range bal.byService[qry.Service] {
+		var rej Rejected
+		if bal.usable(qry, sta, &rej); rej.Backoff == 0 {
+			if rej.Cold > 0 {
+				return 0 // the quota of a cold instance is renewed within a second
+			}
+			continue
+		}
+		if left := sta.standing.backoffUntil.Sub(qry.Now); wait == 0 || left < wait {
+			wait = left
+		}
+	}
+	return wait
+}
+
 // fastest returns the index of the preferred instance with the smallest expected time among those that are not full, or else that of
 // the first lightly loaded fallback instance. It returns -1 if there is none.
 func (bal *Balancer) fastest(qry Query, ranked []candidate, rej *Rejected) (best int) {
@@ -258,7 +283,7 @@
 func (bal *Balancer) usable(qry Query, sta *state, rej *Rejected) (ok bool) {
 	ins := &sta.ins
 	switch {
-	case ins.Leaving:
+	case ins.Leaving || sta.standing.isLeaving(qry.Now):
 		rej.Leaving++
 	case bal.vew.Evacuated(ins.FailureDomain):
 		rej.Evacuated++
@@ -268,6 +293,8 @@
 		rej.Tried++
 	case qry.Now.Before(sta.coldUntil) && !sta.withinColdQuota(bal.coldQuota(ins, qry.Now), qry.Now):
 		rej.Cold++
+	case qry.Now.Before(sta.standing.backoffUntil):
+		rej.Backoff++
 	default:
 		return true
 	}
--- a/internal/steer/place/place.go
+++ b/internal/steer/place/place.go
@@ -45,6 +45,7 @@
 	byService map[cardamompass.ServiceName][]*state
 	splits    map[cardamompass.ServiceName]*regionSplit
 	histories map[uint64]*history
+	standings map[startKey]*standing
 	vms       vmCounter
 	// running is the number of VMs that announce that they run. started is the time of the first Sync.
 	running int
@@ -59,6 +60,7 @@
 		states:    make(map[cardamompass.InstanceID]*state),
 		splits:    make(map[cardamompass.ServiceName]*regionSplit),
 		histories: make(map[uint64]*history),
+		standings: make(map[startKey]*standing),
 	}
 }
 
@@ -76,6 +78,7 @@
 		sta, known := bal.states[ins.ID]
 		if !known || !sta.ins.SameStart(ins) {
 			sta = newState(ins)
+			sta.standing = bal.newStart(ins, known, now)
 			bal.states[ins.ID] = sta
 			sta.coldUntil = now.Add(ins.ColdFor)
 		}
@@ -86,8 +89,10 @@
 		if ins.ColdFor > sta.ins.ColdFor {
 			sta.coldUntil = later(sta.coldUntil, now.Add(ins.ColdFor))
 		}
+		bal.syncStanding(sta, ins, now)
 		sta.ins = ins
 	}
+	bal.pruneStandings(now)
 	for id := range bal.states {
 		if _, ok := vew.Instance(id); !ok {
 			delete(bal.states, id)
@@ -175,28 +180,38 @@
 	ResultDropped
 )
 
-// Outcome is a Result with the load that the instance reported.
+// Outcome is a Result with what the instance stated in its response.
 type Outcome struct {
 	Instance cardamompass.InstanceID
+	// StartMillis is that of the instance.
+	StartMillis int64
 	// AffinityHash is that of the Query.
 	AffinityHash uint64
 	Result       Result
 	Load         *cardamompass.Load
+	// Leaving is set when the instance stated that it is leaving, Backoff is how long it wants no requests.
+	Leaving bool
+	Backoff time.Duration
 }
 
 // RecordOutcome records the outcome of a request for which RecordSent was called.
-func (bal *Balancer) RecordOutcome(out Outcome, now time.Time) {
+func (bal *Balancer) RecordOutcome(out Outcome, now time.Time) (news News) {
 	bal.mu.Lock()
 	defer bal.mu.Unlock()
+	if out.Leaving || out.Backoff > 0 {
+		// The start need not be the registered one: its registration may have lapsed, and come back.
+		news = bal.standing(out.Instance, out.StartMillis, now).record(out, now)
+	}
 	sta, ok := bal.states[out.Instance]
 	if !ok {
-		return
+		return news
 	}
 	sta.inFlight = max(0, sta.inFlight-1)
 	sta.recordOutcome(out, now)
 	if out.Result == ResultAnswered {
 		bal.history(out.AffinityHash).record(out.Instance, now)
 	}
+	return news
 }
 
 func later(one, two time.Time) time.Time {
--- a/internal/steer/place/state.go
+++ b/internal/steer/place/state.go
@@ -32,6 +32,7 @@
 // state is the state of an instance as this VM sees it.
 type state struct {
 	ins        cardamompass.Instance
+	standing   *standing
 	hash       uint64 // of the id
 	inFlight   int    // own requests
 	load       cardamompass.Load
--- a/protocol.go
+++ b/protocol.go
@@ -31,6 +31,12 @@
 	Transformed bool
 	// Load is the target's load; nil if not reported.
 	Load *Load
+	// Leaving is set when the instance states that it is leaving and wants no new requests.
+	Leaving bool
+	// Backoff is how long the instance wants no requests from this VM; 0 if not specified.
+	Backoff time.Duration
+	// BackoffErr is set when the instance specified a time that can't be parsed or that is out of range.
+	BackoffErr error
 }
 
 // Lookup is a caller's query for the entry VMs to use.
