member: seeds take turns in being probed

Cause: a VM that knows other members probes one seed every 15 s, chosen at random among those that no member uses. Ruled out: probing all free seeds at once: VMs of a large fleet would do so together for as long as a seed is away. Change: the seeds take turns, from a random one on, so that each is probed within their number times 15 s.

--- a/internal/fleet/member/machine.go
+++ b/internal/fleet/member/machine.go
@@ -131,6 +131,7 @@
 	digest     uint64
 	probeOrder []cardamompass.VMID
 	probePos   int
+	seedPos    int // of the next seed to probe
 	queue      []queuedUpdate
 	probes     map[uint64]*probe
 	lastID     uint64
@@ -168,6 +169,9 @@
 		nextSeedProbe: cfg.Start.Add(seedProbeInterval),
 		joinDelay:     minJoinDelay,
 	}
+	if len(cfg.Seeds) > 0 {
+		mch.seedPos = mch.rng.Intn(len(cfg.Seeds)) // VMs that start together probe different seeds
+	}
 	mch.digest = viewHash(mch.self)
 	mch.enqueue(cfg.Self.ID)
 	return mch
--- a/internal/fleet/member/machine_test.go
+++ b/internal/fleet/member/machine_test.go
@@ -208,3 +208,53 @@
 		t.Fatalf("%d records sent, want %d", sent, want)
 	}
 }
+
+// Guards against a seed that is passed over for a long time: VMs that have found each other without seeds join the rest of the fleet
+// through the first seed that starts. Chosen at random, the same of two seeds was probed for more than a minute on some random seeds.
+func TestEverySeedIsProbed(t *testing.T) {
+	const interval = 15 * time.Second // between two probes of seeds
+	seeds := []string{"seed-1", "seed-2", "seed-3"}
+	for num := range int64(200) {
+		mch := member.NewMachine(member.MachineConfig{
+			Self: cardamompass.VM{
+				ID:          "self",
+				Incarnation: 1,
+				PeerAddress: "self",
+			},
+			Seeds:      seeds,
+			RandomSeed: num,
+			Start:      start,
+		})
+		mch.Apply(member.PingReceived{ // another member serves, so that the VM does not join by probing all seeds at once
+			Now:     start,
+			Message: message(),
+		})
+		lastProbe := map[string]time.Time{}
+		for now := start; now.Before(start.Add(10 * time.Minute)); now = mch.Next() {
+			for _, eff := range mch.Apply(member.Tick{Now: now}) {
+				png, ok := eff.(member.Ping)
+				if !ok {
+					continue
+				}
+				if png.Address == "other" {
+					mch.Apply(member.ProbeAnswered{
+						Now:     now,
+						Probe:   png.Probe,
+						Message: message(),
+					})
+					continue
+				}
+				lastProbe[png.Address] = now
+			}
+			for _, address := range seeds {
+				last, ok := lastProbe[address]
+				if !ok {
+					last = start
+				}
+				if gap := now.Sub(last); gap > time.Duration(len(seeds)+1)*interval {
+					t.Fatalf("random seed %d: %s was not probed for %v", num, address, gap)
+				}
+			}
+		}
+	}
+}
--- a/internal/fleet/member/probe.go
+++ b/internal/fleet/member/probe.go
@@ -278,7 +278,7 @@
 	mch.probeDead(now)
 }
 
-// probeSeed probes a seed that no serving member uses.
+// probeSeed probes the next seed that no serving member uses. The seeds take turns, so that each is probed within a bounded time.
 func (mch *Machine) probeSeed(now time.Time) {
 	if now.Before(mch.nextSeedProbe) {
 		return
@@ -292,15 +292,14 @@
 			used[rec.mbr.VM.PeerAddress] = true
 		}
 	}
-	var free []string
-	for _, address := range mch.cfg.Seeds {
+	for range mch.cfg.Seeds {
+		address := mch.cfg.Seeds[mch.seedPos%len(mch.cfg.Seeds)]
+		mch.seedPos++
 		if !used[address] {
-			free = append(free, address)
+			mch.probeAddress(address, false, now)
+			return
 		}
 	}
-	if len(free) > 0 {
-		mch.probeAddress(free[mch.rng.Intn(len(free))], false, now)
-	}
 }
 
 // vmsListed probes listed VMs that are not known to be serving.
