send: wait for the answer of work that runs once while its target can't be reached

Cause: a connection to a target failed 2.5 s after the target had become silent: 1 s idle, two keep-alive probes, or 1.5 s without an acknowledgement. For work that must run only once, nothing is gained by that: it may have run, it can't be sent again, and its answer may still arrive when the cut ends. Operators of similar systems told of running work that was given up so. Ruled out: longer probes for all requests: those that may be repeated are sent to another target after the failure. Change: while a non-idempotent request is in flight, its connection ends only at the deadline; the settings are restored afterwards.

--- a/internal/edge/send/pool.go
+++ b/internal/edge/send/pool.go
@@ -3,7 +3,7 @@
 import (
 	"bufio"
 	"context"
-	"net"
+
 	"syscall"
 	"time"
 
@@ -139,39 +139,3 @@
 	}
 	return count
 }
-
-// Dialer returns a dial function whose connections fail when sent bytes stay unacknowledged for limit.
-func Dialer(limit time.Duration) (dial func(ctx context.Context, network, address string) (net.Conn, error)) {
-	dlr := &net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveInterval,
-			Interval: keepAliveInterval,
-			Count:    keepAliveCount,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) (err error) {
-			cerr := raw.Control(func(fd uintptr) {
-				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(limit.Milliseconds()))
-			})
-			return errors.Wrap(firstError(cerr, err), "set TCP_USER_TIMEOUT")
-		},
-	}
-	return dlr.DialContext
-}
-
-const (
-	// tcpUserTimeout is TCP_USER_TIMEOUT of linux/tcp.h, in milliseconds.
-	tcpUserTimeout = 0x12
-	// keepAliveInterval and keepAliveCount detect an unresponsive connection within about two seconds.
-	keepAliveInterval = time.Second
-	keepAliveCount    = 2
-)
-
-func firstError(errs ...error) (err error) {
-	for _, err = range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/internal/edge/send/send.go
+++ b/internal/edge/send/send.go
@@ -230,6 +230,10 @@
 	_ = con.SetDeadline(msg.Deadline) // fails only on a closed connection, and then the write fails too
 	stop := context.AfterFunc(ctx, func() { _ = con.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
+	restore := func() {}
+	if msg.NonIdempotent {
+		restore = awaitSilently(con.Conn)
+	}
 	rep, reusable, written, err := snd.exchange(ctx, con, ins, msg, left)
 	if idleFor := began.Sub(con.idleSince); idleFor > safeIdleTime && brokenBeforeResponse(err) {
 		snd.suspectIdle(ins.ID, msg.ID, idleFor)
@@ -238,6 +242,7 @@
 		_ = con.Close()
 		return rep, err
 	}
+	restore()
 	con.reused = true
 	con.idleSince = snd.cfg.Clock.Now()
 	con.expires = con.idleSince.Add(idleTimeout(rep.Header))
