--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -54,13 +54,14 @@
 // soak is the run of one seed.
 type soak struct {
 	*pfleet.Fleet
-	t       *testing.T
-	rng     *rand.Rand
-	callers *pfleet.Callers
-	version int
-	leaving map[*pfleet.Target]time.Time // time at which the registration of a target as draining was acknowledged
-	events  []string
-	begin   time.Time
+	t         *testing.T
+	rng       *rand.Rand
+	targetRng *rand.Rand // of stepTarget, so that the other faults of a seed stay the same
+	callers   *pfleet.Callers
+	version   int
+	leaving   map[*pfleet.Target]time.Time // time at which the registration of a target as draining was acknowledged
+	events    []string
+	begin     time.Time
 }
 
 const (
@@ -86,11 +87,12 @@
 	cls, stopCallers := pfleet.NewCallers(flt)
 	t.Cleanup(stopCallers)
 	return &soak{
-		Fleet:   flt,
-		t:       t,
-		rng:     rand.New(rand.NewPCG(seed, 1)),
-		callers: cls,
-		leaving: make(map[*pfleet.Target]time.Time),
+		Fleet:     flt,
+		t:         t,
+		rng:       rand.New(rand.NewPCG(seed, 1)),
+		targetRng: rand.New(rand.NewPCG(seed, 2)),
+		callers:   cls,
+		leaving:   make(map[*pfleet.Target]time.Time),
 	}
 }
 
@@ -106,6 +108,7 @@
 	load.Go(func() { sok.callers.Run(ctx, *rateFlag, sok.path) })
 	for time.Since(sok.begin) < *timeFlag {
 		sok.step()
+		sok.stepTarget()
 		time.Sleep(time.Duration(sok.rng.IntN(400)) * time.Millisecond)
 	}
 	sok.heal()
@@ -177,6 +180,30 @@
 	}
 }
 
+// stepTarget makes a target send bytes without end, ask for a back-off, or state that it leaves, in about a quarter of the steps.
+func (sok *soak) stepTarget() {
+	tgt := sok.Targets[sok.targetRng.IntN(targets/2)]
+	switch sok.targetRng.IntN(12) {
+	case 0:
+		flt := []ptarg.Fault{
+			ptarg.FaultEndlessLine, ptarg.FaultEndlessHead, ptarg.FaultEndlessInterim, ptarg.FaultEndlessBody, ptarg.FaultEndlessNoise,
+			ptarg.FaultEndlessChunks, ptarg.FaultEndlessExtension, ptarg.FaultEndlessTrailer, ptarg.FaultLateCopy, ptarg.FaultEarlyKeep,
+		}[sok.targetRng.IntN(10)]
+		slow := time.Duration(sok.targetRng.IntN(2)) * time.Millisecond
+		tgt.SetFault(flt)
+		tgt.SetSlow(slow)
+		sok.recordEvent("target %s %q, a byte each %v", tgt.ID, flt, slow)
+	case 1:
+		value := []string{"", "0.5", "3", "-1", "soon", "31536000", "Sat, 05 Dec 2026 10:00:00 GMT"}[sok.targetRng.IntN(7)]
+		tgt.SetRetryAfter(value)
+		tgt.SetFault(ptarg.FaultShed)
+		sok.recordEvent("target %s sheds, Retry-After %q", tgt.ID, value)
+	case 2:
+		tgt.SetLeaving(true)
+		sok.recordEvent("target %s states that it leaves", tgt.ID)
+	}
+}
+
 func (sok *soak) storeFaults() (flt pstore.Faults) {
 	return []pstore.Faults{
 		{Outage: true},
@@ -275,6 +302,11 @@
 func (sok *soak) check() {
 	results := sok.callers.Results()
 	violations := pfleet.Violations(results, sok.Targets)
+	for _, vmc := range sok.VMs {
+		if size, err := vmc.PeakMemory(); err == nil && size > pfleet.MemoryLimit {
+			violations = append(violations, fmt.Sprintf("%s used %d MiB at most, its limit is %d MiB", vmc.Name(), size>>20, pfleet.MemoryLimit>>20))
+		}
+	}
 	for tgt, since := range sok.leaving {
 		// Store and VM faults can delay the effect of a departure; after the recovery time the target must get no requests.
 		if count := pfleet.RunsAfter(results, tgt, since.Add(*timeFlag+recoverTime)); count > 0 {
--- a/internal/stand/pfleet/pfleet.go
+++ b/internal/stand/pfleet/pfleet.go
@@ -36,6 +36,9 @@
 	RetrySlack  = 56
 )
 
+// MemoryLimit is the memory limit of a VM in bytes. It is written into each settings file; nothing enforces it.
+const MemoryLimit = 284 << 20
+
 // zones are the failure domains; each name starts with its region.
 var zones = []string{"east-1", "east-2", "west-1", "west-2"}
 
@@ -247,7 +250,8 @@
 		fmt.Fprintf(&text, "%s = %q\n", dom, strings.Split(dom, "-")[0])
 	}
 	fmt.Fprintf(&text, "[listen]\nfront = %q\nready = %q\ndirectory = %q\n", vmc.CallerAddress(), vmc.ReadyAddress(), vmc.LookupAddress())
-	fmt.Fprintf(&text, "[limits]\nmemoryMb = 284\nmaxFds = 4100\n[platform]\naddr = %q\nform = \"kv\"\nttlMinS = 1\n", prx.Address())
+	fmt.Fprintf(&text, "[limits]\nmemoryMb = %d\nmaxFds = 4100\n[platform]\naddr = %q\nform = \"kv\"\nttlMinS = 1\n",
+		MemoryLimit>>20, prx.Address())
 	if err = os.WriteFile(vmc.settings, []byte(text.String()), 0o600); err != nil {
 		return err
 	}
--- a/internal/stand/procs/process.go
+++ b/internal/stand/procs/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -112,6 +113,26 @@
 	return prc.running()
 }
 
+// PeakMemory returns the largest resident size of the running process so far, in bytes.
+func (prc *Process) PeakMemory() (size int64, err error) {
+	defer func() { err = errors.Wrapf(err, "memory of %s", prc.name) }()
+	prc.mut.Lock()
+	defer prc.mut.Unlock()
+	if !prc.running() {
+		return 0, errors.New("not running")
+	}
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", prc.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	for lin := range strings.Lines(string(data)) {
+		if _, err = fmt.Sscanf(lin, "VmHWM: %d kB", &size); err == nil {
+			return size << 10, nil
+		}
+	}
+	return 0, errors.New("not in the status of the process")
+}
+
 // signal sends a signal to the process by its id. It returns an error if the process is not running.
 func (prc *Process) signal(sig syscall.Signal) (err error) {
 	prc.mut.Lock()
