--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"cardamompass"
@@ -137,9 +138,24 @@
 		return nil, nil, err
 	}
 	reports := startComponent(nod, func() (*reporter, func()) { return newReporter(cfg) })
+	nod.startFront(reports, scp)
+	nod.waitForTable()
+	if err = nod.listen(); err != nil {
+		nod.close()
+		return nil, nil, err
+	}
+	nod.runEvery(pruneInterval, nod.pruneIdle)
+	nod.runEvery(vmCountInterval, func() { nod.balancer.SetRunningVMs(len(nod.exchanger.Running())+1, cfg.Clock.Now()) })
+	nod.runEvery(gaugeInterval, func() { nod.updateGauges(scp) })
+	return nod, nod.close, nil
+}
+
+// startFront starts the handler of callers' requests.
+func (nod *Node) startFront(reports *reporter, scp tally.Scope) {
+	cfg := nod.cfg
 	nod.front = startComponent(nod, func() (*front.Front, func()) {
 		return front.New(front.Config{
-			Settings: set,
+			Settings: cfg.Settings,
 			Protocol: cfg.Protocol,
 			Clock:    cfg.Clock,
 			Log:      cfg.Log,
@@ -160,15 +176,6 @@
 			Bodies:  nod.requestBodies,
 		})
 	})
-	nod.waitForTable()
-	if err = nod.listen(); err != nil {
-		nod.close()
-		return nil, nil, err
-	}
-	nod.runEvery(pruneInterval, nod.pruneIdle)
-	nod.runEvery(vmCountInterval, func() { nod.balancer.SetRunningVMs(len(nod.exchanger.Running())+1, cfg.Clock.Now()) })
-	nod.runEvery(gaugeInterval, func() { nod.updateGauges(scp) })
-	return nod, nod.close, nil
 }
 
 // startExchanger starts the exchange of load reports with the other VMs.
--- a/internal/edge/send/pool.go
+++ b/internal/edge/send/pool.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-
 	"syscall"
 	"time"
 
--- a/internal/edge/send/send.go
+++ b/internal/edge/send/send.go
@@ -336,8 +336,8 @@
 	}
 	for num := range maxUnrelatedResponses {
 		con.limit.left = maxHeadBytes
-		rsp, err := http.ReadResponse(con.rdr, req)
-		con.limit.left = math.MaxInt64 // ReadAll bounds the body
+		rsp, err := http.ReadResponse(con.rdr, req) //nolint:bodyclose // see readBody
+		con.limit.left = math.MaxInt64              // ReadAll bounds the body
 		if err != nil {
 			return rep, false, readFailure(ctx, err, false)
 		}
--- a/internal/fleet/cast/cast_test.go
+++ b/internal/fleet/cast/cast_test.go
@@ -250,7 +250,8 @@
 	// As 2d722ac encodes it: VM, incarnation, region, failure domain, caller address, peer address, stopping, reports, capacity.
 	earlier, err := msgpack.Marshal([]any{
 		"vm-2", uint64(7), "r", "r-1", "127.0.0.1:1", lsn.LocalAddr().String(), false,
-		[]any{[]any{"i-1", 3, 2, 6, 150, 40}}, 1600,
+		[]any{[]any{"i-1", 3, 2, 6, 150, 40}},
+		1600,
 	})
 	if err != nil {
 		t.Fatal(err)
