relay: bound the body of a refusal

Cause: a refusal in chunks has no declared length, which counted as short enough to be read; one without end kept its request until the deadline, although it has certainly not run and another target could run it. Ruled out: the other ways of an answer without end: header and short body are bounded (TestBadAnswers), a long answer is paced, and net/http does not read a closed body to its end here.

--- a/internal/edge/relay/limits_test.go
+++ b/internal/edge/relay/limits_test.go
@@ -88,6 +88,26 @@
 	}
 }
 
+// Guards against a refusal whose body has no end, which kept its request until the deadline instead of letting another target run it.
+func TestEndlessShed(t *testing.T) {
+	tgt, _ := rawTarget(t, func(con *net.TCPConn, id string) bool {
+		respondWith("HTTP/1.1 503 Busy\r\nCardamompass-Request-Id: {id}\r\nCardamompass-Shed: true\r\nTransfer-Encoding: chunked\r\n\r\n")(con, id)
+		for {
+			if _, err := con.Write([]byte("10\r\n0123456789abcdef\r\n")); err != nil {
+				return false
+			}
+		}
+	})
+	rly := newRelay(t, relay.Config{})
+	atm := attempt(tgt, "a-1")
+	atm.Request.Deadline = time.Now().Add(time.Minute)
+	_, err := rly.Do(t.Context(), atm)
+	var nre *cardamompass.NotRunError
+	if !errors.As(err, &nre) || time.Now().After(atm.Request.Deadline.Add(-30*time.Second)) {
+		t.Fatalf("error %v", err)
+	}
+}
+
 // Guards against net/http sending a request again on another connection when an idle connection breaks, which it does for requests
 // without a body.
 func TestNoResend(t *testing.T) {
--- a/internal/edge/relay/response.go
+++ b/internal/edge/relay/response.go
@@ -38,7 +38,8 @@
 	case rsp.StatusCode == http.StatusServiceUnavailable && rsp.Header.Get(cardamompass.HeaderShed) == "true":
 		ast.endWrites()
 		if rsp.ContentLength <= maxShedBytes {
-			io.Copy(io.Discard, rsp.Body) //nolint:errcheck // only keeps the connection for reuse
+			// The length of a chunked body is not known. Reading only keeps the connection for reuse.
+			io.CopyN(io.Discard, rsp.Body, maxShedBytes+1) //nolint:errcheck // see above
 		}
 		return &cardamompass.NotRunError{
 			Reason: "the target shed the request",
