--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -274,7 +274,8 @@
 
 func (exc *exchange) refuse(reason string) {
 	exc.writeUnavailable(reason, slotWait)
-	exc.log.Warn("request refused", zap.String("reason", reason), zap.Duration("store-age", exc.frt.cfg.StoreAge()))
+	exc.log.Warn("request refused", zap.String("reason", reason), zap.Duration("retry-after", exc.retryAfter),
+		zap.Duration("store-age", exc.frt.cfg.StoreAge()))
 	exc.frt.met.refused.Inc(1)
 }
 
--- a/internal/obs/trace/trace.go
+++ b/internal/obs/trace/trace.go
@@ -55,6 +55,7 @@
 var stateEvents = []string{
 	"store lost", "store regained", "store history lost", "routing table in force", "target gone", "target entry removed",
 	"failure domain evacuated", "failure domain restored", "stop begins", "started", "vm gone", "crash known",
+	"target leaving", "target backs off",
 }
 
 // Read reads logs and returns the timeline of the request with the given id.
@@ -139,13 +140,9 @@
 	case "request answered":
 		return tml.answered(last)
 	case "request refused":
-		if reason := last.Get("reason"); reason != "" {
-			return "refused before a target was chosen: " + reason
-		}
-		if failed != nil {
-			return fmt.Sprintf("refused, and it has not run: target %s %s", failed.Get("target"), failed.Get("kind"))
-		}
-		return "refused, and it has not run: " + last.Get("error")
+		return tml.refused(last)
+	case "request body not read":
+		return "its body was not received, so that it has not run: " + last.Get("error")
 	case "request timeout":
 		return fmt.Sprintf("no answer of target %s within the %s that the caller and the route allow", tml.target(), last.Get("allowed"))
 	case "request failed":
@@ -163,6 +160,23 @@
 	}
 }
 
+// refused describes a request that has not run.
+func (tml Timeline) refused(last Line) (text string) {
+	failed := tml.last("attempt failed")
+	switch reason := last.Get("reason"); {
+	case reason != "":
+		text = "refused before a target was chosen: " + reason
+	case failed != nil:
+		text = fmt.Sprintf("refused, and it has not run: target %s %s", failed.Get("target"), failed.Get("kind"))
+	default:
+		text = "refused, and it has not run: " + last.Get("error")
+	}
+	if after := last.Get("retry-after"); after != "" {
+		text += "; the caller was told to retry after " + after
+	}
+	return text
+}
+
 // answered describes a request that a target answered, including failed attempts and a hedge.
 func (tml Timeline) answered(last Line) (text string) {
 	text = fmt.Sprintf("answered with %s by target %s in %s", last.Get("status"), tml.target(), last.Get("took"))
--- a/internal/obs/trace/trace_test.go
+++ b/internal/obs/trace/trace_test.go
@@ -18,6 +18,9 @@
 time=2026-01-24T09:36:01.000Z level=info event="request sent" process=vm-2 request=r-3 second=false target=i-1
 time=2026-01-24T09:36:02.000Z level=warn event="request timeout" process=vm-2 request=r-3 allowed=1s
 time=2026-01-24T09:36:03.000Z level=info event="request sent" process=vm-2 request=r-4 second=false target=i-1
+time=2026-01-24T09:36:08.500Z level=info event="target backs off" process=vm-3 target=i-1 service=s for=2s
+time=2026-01-24T09:36:09.000Z level=warn event="request refused" process=vm-3 request=r-5 retry-after=2.3s error="no target of s can be used: {Backoff:1}"
+time=2026-01-24T09:36:09.000Z level=info event="request body not read" process=vm-3 request=r-6 error="i/o timeout" length=1000
 `
 
 // Guards against a cause that does not match the lines, and against lines of another request or VM.
@@ -32,6 +35,8 @@
 		{"r-2", 1, 1, "refused before a target was chosen: the VM stops"},
 		{"r-3", 2, 1, "no answer of target i-1 within the 1s"},
 		{"r-4", 1, 0, "no end in these logs"},
+		{"r-5", 1, 1, "no target of s can be used: {Backoff:1}; the caller was told to retry after 2.3s"},
+		{"r-6", 1, 1, "its body was not received, so that it has not run: i/o timeout"},
 		{"r-10", 1, 1, "answered with 200"},
 		{"r-9", 0, 0, "no line names this request"},
 	}
