front, cast, send: second reading

Cause: read as a newcomer: a caller was told how many bytes of memory are in use; the length of a body over the limit was not logged; a start time went through an int, which has 32 bits on some machines; names that say more than the code does (awaitSilently, wishes). Ruled out: a change of what is decided. Measured: tests of the packages, linter, vet for amd64.

--- a/internal/edge/front/body.go
+++ b/internal/edge/front/body.go
@@ -19,11 +19,14 @@
 	limit := exc.vew.Table.Limits.MaxBodyBytes
 	length := exc.req.ContentLength
 	if limit > 0 && length > limit {
-		exc.writeError(http.StatusRequestEntityTooLarge, "the body is too long")
-		return nil, errors.New("request body exceeds the limit")
+		err = &buffer.TooLongError{
+			Limit: limit,
+		}
+		exc.rejectBody(err)
+		return nil, err
 	}
 	if err = exc.frt.cfg.Bodies.Check(length); err != nil {
-		exc.refuse(err.Error())
+		exc.rejectBody(err)
 		return nil, err
 	}
 	if exc.req.Body != http.NoBody {
@@ -53,7 +56,7 @@
 	case errors.As(err, &long):
 		exc.writeError(http.StatusRequestEntityTooLarge, "the body is too long")
 	case errors.As(err, &full):
-		exc.refuse(err.Error())
+		exc.refuse("no memory for the body")
 	case errors.As(err, &ner) && ner.Timeout():
 		exc.writeError(http.StatusRequestTimeout, "the body did not arrive in time")
 	default:
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -307,7 +307,8 @@
 	fields := []zap.Field{
 		zap.String("route", exc.route.Name), zap.String("service", string(exc.service)), zap.String("object", exc.inf.AffinityKey),
 		zap.String("outcome", outcome), zap.Int("status", status), zap.Duration("took", ela),
-		zap.Duration("received", exc.received.Sub(exc.start)), zap.Duration("allowed", dsp.msg.Deadline.Sub(exc.start)), zap.Int("sent", len(dsp.tried)), zap.Uint64("table", exc.vew.Table.Version),
+		zap.Duration("received", exc.received.Sub(exc.start)), zap.Duration("allowed", dsp.msg.Deadline.Sub(exc.start)),
+		zap.Int("sent", len(dsp.tried)), zap.Uint64("table", exc.vew.Table.Version),
 		zap.Duration("store-age", exc.frt.cfg.StoreAge()),
 	}
 	if exc.retryAfter > 0 {
--- a/internal/edge/send/dial.go
+++ b/internal/edge/send/dial.go
@@ -49,10 +49,10 @@
 	return time.Duration(millis) * time.Millisecond, firstError(cerr, err)
 }
 
-// awaitSilently lets a connection outlast a time in which the other side can't be reached, and returns the function that restores its
+// disableDetection lets a connection outlast a time in which the other side can't be reached, and returns the function that restores its
 // settings. A request that must run only once gains nothing from an early end: it may have run, and its response may still come.
 // Connections other than those of TCP are not changed.
-func awaitSilently(con net.Conn) (restore func()) {
+func disableDetection(con net.Conn) (restore func()) {
 	tcp, ok := con.(*net.TCPConn)
 	if !ok {
 		return func() {}
--- a/internal/edge/send/send.go
+++ b/internal/edge/send/send.go
@@ -232,7 +232,7 @@
 	defer stop()
 	restore := func() {}
 	if msg.NonIdempotent {
-		restore = awaitSilently(con.Conn)
+		restore = disableDetection(con.Conn)
 	}
 	rep, reusable, written, err := snd.exchange(ctx, con, ins, msg, left)
 	if idleFor := began.Sub(con.idleSince); idleFor > safeIdleTime && brokenBeforeResponse(err) {
--- a/internal/fleet/cast/cast.go
+++ b/internal/fleet/cast/cast.go
@@ -87,7 +87,7 @@
 	Waiting  int
 	Slots    int
 	Slowness int // in percent
-	AgeMS    int
+	AgeMS    int64
 }
 
 // Config configures an Exchanger.
@@ -277,7 +277,7 @@
 		} else if len(dgr.Reports) < maxDepartures {
 			dgr.Reports = append(dgr.Reports, wireReport{
 				Instance: string(dep.Instance),
-				AgeMS:    int(dep.StartMillis),
+				AgeMS:    dep.StartMillis,
 			})
 		}
 	}
@@ -292,7 +292,7 @@
 			Waiting:  tml.load.Waiting,
 			Slots:    tml.load.Slots,
 			Slowness: int(tml.load.Slowness * 100),
-			AgeMS:    int(now.Sub(tml.at).Milliseconds()),
+			AgeMS:    now.Sub(tml.at).Milliseconds(),
 		})
 	}
 	return dgr
@@ -382,7 +382,7 @@
 		case val.Slots == 0 && val.Instance != "":
 			departures = append(departures, Departure{
 				Instance:    cardamompass.InstanceID(val.Instance),
-				StartMillis: int64(val.AgeMS),
+				StartMillis: val.AgeMS,
 			})
 		case val.Slots > 0 && val.Slowness > 0:
 			reports = append(reports, Report{
--- a/internal/steer/place/standing.go
+++ b/internal/steer/place/standing.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// standingRetention is the time for which the wishes of a start of an instance outlast its registration. A registration may lapse
+	// standingRetention is the time for which the standing of a start of an instance outlasts its registration. A registration may lapse
 	// with the store and come back, which is not a new start.
 	standingRetention = 10 * time.Minute
 	// hintTime is the time for which another VM's report that an instance is leaving counts. After it, this VM may send a request, whose
--- a/internal/steer/place/standing_test.go
+++ b/internal/steer/place/standing_test.go
@@ -33,7 +33,7 @@
 
 // Guards against requests to a target that has stated that it is leaving or that it wants none, and against one that is left out
 // although it has started again or its time has passed.
-func TestStatedWishes(t *testing.T) {
+func TestStanding(t *testing.T) {
 	leaving := place.Outcome{Instance: "i-1", StartMillis: 100, Leaving: true}
 	backoff := place.Outcome{Instance: "i-1", StartMillis: 100, Result: place.ResultShed, Backoff: 3 * time.Second}
 	tests := []struct {
@@ -134,13 +134,13 @@
 
 // Guards against any sequence of responses, registrations, restarts and hints that brings a leaving target back or sends a request
 // within a back-off.
-func TestWishesProperty(t *testing.T) {
+func TestStandingProperty(t *testing.T) {
 	seed := uint64(time.Now().UnixNano())
 	t.Logf("seed %d", seed)
 	params := gopter.DefaultTestParametersWithSeed(int64(seed >> 1))
 	params.MinSuccessfulTests = 300
 	props := gopter.NewProperties(params)
-	props.Property("a start that stated its wish gets no request", prop.ForAll(
+	props.Property("a start that leaves or backs off gets no request", prop.ForAll(
 		func(events []int) (ok bool) {
 			rnd := rand.New(rand.NewPCG(seed, uint64(len(events))))
 			bal := newBoard(1)
