--- a/internal/proof/users/faults_test.go
+++ b/internal/proof/users/faults_test.go
@@ -292,3 +292,42 @@
 		t.Logf("responses by status: %v", count)
 	}
 }
+
+// Guards against requests to targets that have asked for none for a time, and against callers that are not told when to return.
+func TestTargetsThatBackOff(t *testing.T) {
+	const backoff = 2 * time.Second
+	tfl := newTestFleet(t, 3, 4)
+	stop := tfl.startLoad()
+	time.Sleep(time.Second)
+	for _, tgt := range tfl.Targets {
+		tgt.SetRetryAfter(fmt.Sprint(backoff.Seconds()))
+		tgt.SetFault(ptarg.FaultShed)
+	}
+	begin := time.Now()
+	time.Sleep(3 * backoff)
+	refusals := make(map[string]int)
+	for _, tgt := range tfl.Targets {
+		refusals[tgt.ID] = tgt.Refusals()
+		tgt.SetFault(ptarg.FaultNone)
+	}
+	periods := 1 + int(time.Since(begin)/backoff)
+	time.Sleep(backoff + time.Second)
+	stop()
+	// Each VM is refused once, then waits for the end of the back-off. Two more requests may be on their way.
+	allowed := periods * len(tfl.VMs) * 3
+	for id, count := range refusals {
+		if count == 0 || count > allowed {
+			t.Errorf("%s got %d requests while it asked for none, at most %d are allowed", id, count, allowed)
+		}
+	}
+	served := 0
+	for _, res := range tfl.callers.Results() {
+		if res.Status == http.StatusOK && res.At.After(begin.Add(4*backoff)) {
+			served++
+		}
+	}
+	if served == 0 {
+		t.Error("no request was served after the back-off")
+	}
+	t.Logf("requests at targets that asked for none: %v; responses by status: %v", refusals, tfl.check())
+}
