--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -62,6 +62,8 @@
 	one := cardamompass.WeightedService{Service: service, Weight: 1}
 	hedged := route("/hedged/", true, one)
 	hedged.LatencyObjective = 50 * time.Millisecond
+	patient := route("/patient/", false, one)
+	patient.Timeout = 10 * time.Second
 	return &cardamompass.RoutingTable{
 		Version: 1,
 		Routes: []cardamompass.Route{
@@ -71,6 +73,7 @@
 			route("/split/", true, cardamompass.WeightedService{Service: service, Weight: 3},
 				cardamompass.WeightedService{Service: "none", Weight: 1}),
 			hedged,
+			patient,
 		},
 		Limits: cardamompass.CallerLimits{
 			MaxBodyBytes: maxBody,
--- a/internal/edge/front/upload_test.go
+++ b/internal/edge/front/upload_test.go
@@ -145,6 +145,55 @@
 	fxt.checkReleased()
 }
 
+// Guards against uploads over a slow link that are refused, cut, or keep other requests waiting.
+func TestUploadOverSlowLink(t *testing.T) {
+	const (
+		size           = 360 << 10
+		bytesPerSecond = 10e6 / 8
+	)
+	fxt := newFixture(t, 2)
+	body := strings.Repeat("0123456789abcdef", size/16)
+	rdr, wrt := io.Pipe()
+	began := time.Now()
+	go func() {
+		defer wrt.Close()
+		const piece = 4 << 10
+		for pos := 0; pos < size; pos += piece {
+			time.Sleep(time.Until(began.Add(time.Duration(float64(pos) / bytesPerSecond * float64(time.Second)))))
+			if _, err := io.WriteString(wrt, body[pos:min(pos+piece, size)]); err != nil {
+				return
+			}
+		}
+	}()
+	req := fxt.request(t.Context(), "/patient/a", "r-slow")
+	req.Body, req.ContentLength = rdr, size
+	done := make(chan int, 1)
+	go func() {
+		rsp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Error(err)
+			done <- 0
+			return
+		}
+		defer rsp.Body.Close()
+		done <- rsp.StatusCode
+	}()
+	if status, _, _ := fxt.send("/write/a", "r-other"); status != http.StatusOK || fxt.runs() != 1 {
+		t.Errorf("status %d, %d runs beside the upload, want the run of the other request only", status, fxt.runs())
+	}
+	if status := <-done; status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	for _, tgt := range fxt.targets {
+		for _, run := range tgt.Runs() {
+			if run.ID == "r-slow" && run.Body != body {
+				t.Errorf("the target got %d bytes of %d, or other ones", len(run.Body), size)
+			}
+		}
+	}
+	fxt.checkReleased()
+}
+
 // Guards against a caller that stops in the middle of a body: its request must end, must not reach a target, and must not keep the
 // memory from others.
 func TestStalledUpload(t *testing.T) {
