pfleet: an address of its own for the targets of each fleet

The packages' tests run at the same time; those of proof and limit crash targets, whose ports on 127.0.0.1 become free while VMs go on probing them, and the kernel gave them to targets of this fleet. Ruled out: an entry VM of the users' platform that sends it: none probes. Processes left over from earlier runs: none were listed before the run. The check: it stays as it was. Change: targets and their proxies listen on an address of the fleet's own network, which no other test dials.

--- a/internal/stand/pfleet/pfleet.go
+++ b/internal/stand/pfleet/pfleet.go
@@ -94,14 +94,21 @@
 	Targets []*Target
 
 	cfg      Config
+	network  string // begin of the fleet's loopback addresses
 	cleanups []func()
 	next     int
 }
 
+// targetHost is the last part of the address of all targets and proxies.
+const targetHost = "250"
+
 // New starts the store and the targets and prepares the VMs, which Start starts. The returned function stops them all.
 func New(cfg Config) (flt *Fleet, cleanup func(), err error) {
 	flt = &Fleet{
 		cfg: cfg,
+		// Fleets of tests that run at the same time must not share addresses: the VMs of one go on probing the port of a target that has
+		// ended, which may by then be that of a target of another.
+		network: fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250)),
 	}
 	defer func() {
 		if err != nil {
@@ -119,9 +126,8 @@
 			return nil, nil, err
 		}
 	}
-	network := fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250)) // sites of parallel tests must not share addresses
 	for num := range cfg.VMs {
-		if err = flt.prepare(num, fmt.Sprint(network, num+1)); err != nil {
+		if err = flt.prepare(num, fmt.Sprint(flt.network, num+1)); err != nil {
 			return nil, nil, err
 		}
 	}
@@ -144,7 +150,7 @@
 	id := fmt.Sprintf("i-%03d", flt.next)
 	inner, stop, err := ptarg.New(ptarg.Config{
 		ID:          id,
-		Address:     "127.0.0.1:0",
+		Address:     flt.targetAddress(),
 		Slots:       flt.cfg.Slots,
 		ServiceTime: flt.cfg.ServiceTime,
 	})
@@ -217,9 +223,12 @@
 	})
 }
 
+// targetAddress returns the address on which targets and proxies listen, with a free port.
+func (flt *Fleet) targetAddress() (address string) { return flt.network + targetHost + ":0" }
+
 func (flt *Fleet) proxy(upstream string) (prx *fault.Proxy, err error) {
 	prx, stop, err := fault.New(fault.Config{
-		Address:  "127.0.0.1:0",
+		Address:  flt.targetAddress(),
 		Upstream: upstream,
 	})
 	if err == nil {
