users: the comment of TestTargetsThatBackOff says what it checks

Cause: it claimed that callers are told when to return, which the test does not look at; front: TestBackoffOfTargets does. Ruled out: a check of the header there: the results of the stand-in callers don't hold it. Change: the comment. No statement of the code differs.

--- a/internal/proof/users/faults_test.go
+++ b/internal/proof/users/faults_test.go
@@ -293,7 +293,7 @@
 	}
 }
 
-// Guards against requests to targets that have asked for none for a time, and against callers that are not told when to return.
+// Guards against requests to targets that have asked for none for a time, and against targets that get none after it.
 func TestTargetsThatBackOff(t *testing.T) {
 	const backoff = 2 * time.Second
 	tfl := newTestFleet(t, 3, 4)
