--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -7,4 +7,4 @@
 	echo "target/review-standin or target/entryvm is missing" >&2
 	exit 2
 fi
-exec "$root/target/review-standin" crash-expires record.txt "$root"
+exec "$root/target/review-standin" header-limit record.txt "$root"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 	"crash-same-id": crashSameID,
 	"config-grows":  configGrows,
 	"crash-expires": crashExpires,
+	"foreign-entry": foreignEntry,
 	"header-limit":  headerLimit,
 }
 
