--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -46,7 +46,6 @@
 	born    int64
 	starts  int
 	state   string
-	seq     int
 	lsn     net.Listener
 	conns   map[net.Conn]bool
 	up      bool
@@ -83,7 +82,7 @@
 		edp.id = fmt.Sprintf("i-%03d%03d", edp.number, edp.starts)
 	}
 	edp.born = time.Now().UnixMilli()
-	edp.state, edp.seq = "ready", 0
+	edp.state = "ready"
 	edp.lsn, edp.conns, edp.up = lsn, make(map[net.Conn]bool), true
 	edp.running, edp.waiting = 0, 0
 	edp.gone = make(chan struct{})
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -194,8 +194,11 @@
 }
 
 func (flt *fleet) awaitReady(mch *machine) (err error) {
+	asker := &http.Client{
+		Timeout: time.Second,
+	}
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		rsp, gerr := http.Get("http://" + mch.ready + "/v1/readyz")
+		rsp, gerr := asker.Get("http://" + mch.ready + "/v1/readyz")
 		if err = gerr; err != nil {
 			continue
 		}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -40,7 +40,6 @@
 	leases    map[int64]*lease
 	lastLease int64
 	changed   chan struct{}
-	cut       chan struct{} // closed to cut the waiting watches
 }
 
 // historyTime is how long the store keeps its history.
@@ -60,7 +59,6 @@
 		items:   make(map[string]item),
 		leases:  make(map[int64]*lease),
 		changed: make(chan struct{}),
-		cut:     make(chan struct{}),
 	}
 	rtr := http.NewServeMux()
 	rtr.HandleFunc("GET /v1/kv-key", sto.get)
@@ -97,14 +95,6 @@
 	sto.remove(key)
 }
 
-// cutWatches closes the connections of the watches that are waiting.
-func (sto *store) cutWatches() {
-	sto.mu.Lock()
-	defer sto.mu.Unlock()
-	close(sto.cut)
-	sto.cut = make(chan struct{})
-}
-
 func (sto *store) write(key string, data []byte, leaseID int64) {
 	sto.rev++
 	itm := item{
@@ -241,7 +231,7 @@
 			}
 		}
 		page.CurrentRev = sto.rev
-		changed, cut := sto.changed, sto.cut
+		changed := sto.changed
 		sto.mu.Unlock()
 		if len(page.Events) > 0 || timedOut {
 			respond(wrt, http.StatusOK, page)
@@ -251,8 +241,6 @@
 		case <-changed:
 		case <-timer.C:
 			timedOut = true
-		case <-cut:
-			panic(http.ErrAbortHandler)
 		case <-req.Context().Done():
 			return
 		}
