--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -132,7 +132,7 @@
 		for _, atm := range sender.all() {
 			if atm.at.After(crashed[2].Add(stableWindow)) && len(arrivals[atm.id]) > 0 {
 				late++
-				ply.rec.add("%s was sent %.1f s after the third crash and reached %v", atm.id, atm.at.Sub(crashed[2]).Seconds(), arrivals[atm.id])
+				ply.rec.add("%s was sent %.1f s after the third crash and reached %s", atm.id, atm.at.Sub(crashed[2]).Seconds(), arrivals[atm.id][0].endpoint)
 			}
 		}
 	}
--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -46,6 +46,9 @@
 	born    int64
 	starts  int
 	state   string
+	cold    time.Time // end of the cold time
+	beats   int
+	last    string // registration as last written, without its sequence number
 	lsn     net.Listener
 	conns   map[net.Conn]bool
 	up      bool
@@ -82,7 +85,10 @@
 		edp.id = fmt.Sprintf("i-%03d%03d", edp.number, edp.starts)
 	}
 	edp.born = time.Now().UnixMilli()
-	edp.state = "ready"
+	edp.state, edp.beats, edp.last = "ready", 0, ""
+	if edp.starts > 1 {
+		edp.cold = time.Now().Add(coldStart)
+	}
 	edp.lsn, edp.conns, edp.up = lsn, make(map[net.Conn]bool), true
 	edp.running, edp.waiting = 0, 0
 	edp.gone = make(chan struct{})
@@ -122,9 +128,18 @@
 	if !edp.up || edp.state == "removed" {
 		return
 	}
-	edp.flt.sto.put("servers/"+edp.id, map[string]any{
+	edp.beats++
+	cold := max(0, time.Until(edp.cold).Seconds())
+	if text := fmt.Sprintf("%s %.3f", edp.state, cold); text != edp.last {
+		edp.last = text
+		edp.flt.sto.put("servers/"+edp.id, edp.entry(cold, true))
+	}
+}
+
+// entry returns a registration. One without born lacks the time of the start.
+func (edp *endpoint) entry(cold float64, born bool) (value map[string]any) {
+	value = map[string]any{
 		"addr": edp.address,
-		"born": edp.born,
 		"info": map[string]any{
 			"service": edp.cfg.service,
 			"version": "v1",
@@ -132,11 +147,15 @@
 			"slots":   edp.cfg.slots,
 		},
 		"status": map[string]any{
-			"state":     edp.state,
-			"seq":       1,
-			"coldLeftS": 0,
+			"state":     "ready",
+			"seq":       edp.beats,
+			"coldLeftS": cold,
 		},
-	})
+	}
+	if born {
+		value["born"] = edp.born
+	}
+	return value
 }
 
 // crash ends the start: the listener closes and all connections are reset. The entry lapses if the endpoint doesn't come back.
@@ -150,10 +169,10 @@
 	id := edp.id
 	edp.mu.Unlock()
 	edp.flt.rec.add("endpoint %s crashed", id)
+	if !edp.cfg.sameID {
+		time.AfterFunc(3*heartbeatInterval, func() { edp.flt.sto.delete("servers/" + id) })
+	}
 	time.AfterFunc(edp.cfg.restart, func() {
-		if !edp.cfg.sameID {
-			edp.flt.sto.delete("servers/" + id)
-		}
 		if err := edp.start(); err != nil {
 			edp.flt.rec.add("endpoint %s is not back: %v", id, err)
 		}
@@ -173,7 +192,8 @@
 	}
 }
 
-// leave removes the registration without a state of draining, serves for a time and ends. Its last requests are lost if they run then.
+// leave removes the registration without a state of draining, serves for a time and ends. Its answers say meanwhile that it leaves. Its
+// last requests are lost if they run then.
 func (edp *endpoint) leave(serve time.Duration) (left time.Time) {
 	edp.mu.Lock()
 	edp.state = "removed"
@@ -199,6 +219,7 @@
 	wrt.Header().Set("Request-Id", id)
 	wrt.Header().Set("Instance-Id", self)
 	wrt.Header().Set("Keep-Alive", "timeout=10")
+	edp.sayLeaving(wrt.Header())
 	if want := req.Header.Get("Expect-Instance"); want != "" && want != self {
 		edp.flt.rec.add("endpoint %s rejects %s with 421", self, id)
 		wrt.WriteHeader(http.StatusMisdirectedRequest)
@@ -245,6 +266,7 @@
 		return
 	}
 	edp.flt.ended(rnn, "answered")
+	edp.sayLeaving(wrt.Header())
 	body := answerBody(id)
 	wrt.Header().Set("Response-Seal", seal(id))
 	wrt.Header().Set("Server-Load", edp.load())
@@ -253,6 +275,15 @@
 	edp.flt.rec.add("endpoint %s answers %s", self, id)
 }
 
+// sayLeaving adds the header that all answers of an endpoint that leaves have.
+func (edp *endpoint) sayLeaving(hdr http.Header) {
+	edp.mu.Lock()
+	defer edp.mu.Unlock()
+	if edp.state == "removed" {
+		hdr.Set("Server-Leaving", "1")
+	}
+}
+
 // enter waits for a slot and reports whether the request may run.
 func (edp *endpoint) enter(ctx context.Context) (ok bool) {
 	edp.mu.Lock()
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -17,6 +17,7 @@
 // Figures of a small deployment, as in its settings files.
 const (
 	heartbeatInterval = 1500 * time.Millisecond
+	coldStart         = 3 * time.Second
 	stableWindow      = 3 * time.Second
 	drainBound        = 2 * time.Second
 	configApply       = 2 * time.Second
@@ -51,7 +52,7 @@
 
 	mu       sync.Mutex
 	runs     []*run
-	arrivals map[string][]string // ids of the endpoints that a request reached, by its id
+	arrivals map[string][]arrival // of a request, by its id
 }
 
 // newFleet prepares a deployment. linkMbps is the rate at which the store's answers come to a machine; 0 for no bound.
@@ -60,7 +61,7 @@
 		rec:      rec,
 		root:     root,
 		linkMbps: linkMbps,
-		arrivals: make(map[string][]string),
+		arrivals: make(map[string][]arrival),
 	}
 	if flt.dir, err = os.MkdirTemp("", "review-"); err != nil {
 		return nil, err
@@ -276,10 +277,19 @@
 	return acked
 }
 
+// arrival is a request that has reached an endpoint.
+type arrival struct {
+	endpoint string // its id
+	at       time.Time
+}
+
 func (flt *fleet) arrived(id, endpoint string) {
 	flt.mu.Lock()
 	defer flt.mu.Unlock()
-	flt.arrivals[id] = append(flt.arrivals[id], endpoint)
+	flt.arrivals[id] = append(flt.arrivals[id], arrival{
+		endpoint: endpoint,
+		at:       time.Now(),
+	})
 }
 
 func (flt *fleet) began(rnn run) (ptr *run) {
@@ -296,15 +306,15 @@
 }
 
 // snapshot returns copies of the runs and the arrivals.
-func (flt *fleet) snapshot() (runs []run, arrivals map[string][]string) {
+func (flt *fleet) snapshot() (runs []run, arrivals map[string][]arrival) {
 	flt.mu.Lock()
 	defer flt.mu.Unlock()
-	arrivals = make(map[string][]string)
+	arrivals = make(map[string][]arrival)
 	for _, rnn := range flt.runs {
 		runs = append(runs, *rnn)
 	}
 	for id, list := range flt.arrivals {
-		arrivals[id] = append([]string(nil), list...)
+		arrivals[id] = append([]arrival(nil), list...)
 	}
 	return runs, arrivals
 }
--- a/review/standin/foreign.go
+++ b/review/standin/foreign.go
@@ -13,7 +13,7 @@
 	const (
 		count   = 12
 		leaving = 5
-		serve   = drainBound + 1500*time.Millisecond // how long an endpoint serves after its entry is removed
+		serve   = drainBound + 2*time.Second // how long an endpoint serves after its entry is removed
 	)
 	flt, err := newFleet(ply.rec, ply.root, 3, 0)
 	if err != nil {
@@ -28,7 +28,7 @@
 			service: service,
 			zone:    zones[num%len(zones)],
 			slots:   6,
-			work:    300 * time.Millisecond,
+			work:    700 * time.Millisecond,
 		}); err != nil {
 			return false, err
 		}
@@ -44,7 +44,7 @@
 		cls := newClients(flt, zne)
 		users = append(users, cls)
 		running.Go(func() {
-			cls.load(30, stop, func(num int) request {
+			cls.load(15, stop, func(num int) request {
 				rqt := request{
 					path:     fmt.Sprintf("/rent/%d", num),
 					body:     fmt.Sprintf("rental %d", num),
@@ -65,7 +65,7 @@
 		edp := flt.endpoints[num]
 		left[edp.id] = edp.leave(serve)
 		if ply.trouble {
-			time.Sleep(500 * time.Millisecond)
+			time.Sleep(time.Duration(1000+rand.IntN(2500)) * time.Millisecond)
 			edp.foreign()
 		}
 		time.Sleep(5 * time.Second)
@@ -74,18 +74,24 @@
 	time.Sleep(2 * time.Second)
 	close(stop)
 	running.Wait()
-	runs, _ := flt.snapshot()
-	late, lost, served := 0, 0, 0
+	runs, arrivals := flt.snapshot()
+	ends := make(map[string]string) // of runs, by the ids of the request and the endpoint
 	for _, rnn := range runs {
-		at, ok := left[rnn.endpoint]
-		if !ok || rnn.at.Before(at.Add(drainBound)) {
-			continue
-		}
-		late++
-		if rnn.ended == "crashed" {
-			lost++
+		ends[rnn.id+" "+rnn.endpoint] = rnn.ended
+	}
+	late, lost, served := 0, 0, 0
+	for id, list := range arrivals {
+		for _, arr := range list {
+			at, ok := left[arr.endpoint]
+			if !ok || arr.at.Before(at.Add(drainBound)) {
+				continue
+			}
+			late++
+			if ends[id+" "+arr.endpoint] == "crashed" {
+				lost++
+			}
+			ply.rec.add("%s reached %s %.3f s after the removal of its entry: %s", id, arr.endpoint, arr.at.Sub(at).Seconds(), ends[id+" "+arr.endpoint])
 		}
-		ply.rec.add("%s ran at %s %.3f s after the removal of its entry: %s", rnn.id, rnn.endpoint, rnn.at.Sub(at).Seconds(), rnn.ended)
 	}
 	for _, cls := range users {
 		for _, atm := range cls.all() {
@@ -106,19 +112,6 @@
 func (edp *endpoint) foreign() {
 	edp.mu.Lock()
 	defer edp.mu.Unlock()
-	edp.flt.sto.put("servers/"+edp.id, map[string]any{
-		"addr": edp.address,
-		"info": map[string]any{
-			"service": edp.cfg.service,
-			"version": "v1",
-			"zone":    edp.cfg.zone,
-			"slots":   edp.cfg.slots,
-		},
-		"status": map[string]any{
-			"state":     "ready",
-			"seq":       1,
-			"coldLeftS": 0,
-		},
-	})
+	edp.flt.sto.put("servers/"+edp.id, edp.entry(0, false))
 	edp.flt.rec.add("another writer writes an entry of %s without born", edp.id)
 }
