intake, node: limits for callers change with the routing table on open connections

Cause: http.Server takes the size of a header, the time to read it and the idle timeout as fields, which must not change while it serves. node.serve set them from the routing table of that moment; a VM that started without a table kept the defaults. Ruled out: setting the fields later is a data race; a new server for each change has to close the connections that callers keep. Change: package intake enforces the limits on the connections and applies new ones at once to all of them, in each phase: before the first request, in a header that has arrived in part, and idle. It serves callers, look-ups and readiness checks.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -20,6 +20,7 @@
 	"cardamompass/internal/edge/buffer"
 	"cardamompass/internal/edge/direct"
 	"cardamompass/internal/edge/front"
+	"cardamompass/internal/edge/intake"
 	"cardamompass/internal/edge/send"
 	"cardamompass/internal/fleet/cast"
 	"cardamompass/internal/fleet/view"
@@ -73,6 +74,7 @@
 	balancer  *place.Balancer
 	sender    *send.Sender
 	front     *front.Front
+	intake    *intake.Intake
 	// requestBodies and responseBodies are the memory of bodies.
 	requestBodies  *buffer.Pool
 	responseBodies *buffer.Pool
@@ -93,6 +95,10 @@
 		cfg:            cfg,
 		requestBodies:  buffer.New(bodyMemory),
 		responseBodies: buffer.New(bodyMemory),
+		intake: intake.New(intake.Config{
+			Limits: callerLimits(nil),
+			Log:    cfg.Log,
+		}),
 		self: cardamompass.VM{
 			ID:            set.ID,
 			Incarnation:   cfg.Incarnation,
@@ -240,9 +246,10 @@
 	})
 }
 
-// viewChanged applies a new view to the balancer.
+// viewChanged applies a new view to the balancer and its routing table to the connections of callers.
 func (nod *Node) viewChanged(_, next *view.View) {
 	nod.balancer.Sync(next, nod.cfg.Clock.Now())
+	nod.intake.SetLimits(callerLimits(next.Table))
 }
 
 // pruneIdle closes idle connections that have expired or whose targets are leaving or removed.
@@ -300,27 +307,23 @@
 	if err != nil {
 		return err
 	}
-	lim := nod.limits()
 	srv := &http.Server{
-		Handler:           hnd,
-		ReadHeaderTimeout: lim.HeaderTimeout,
-		IdleTimeout:       lim.IdleTimeout,
-		MaxHeaderBytes:    lim.MaxHeaderBytes,
-		ConnContext:       front.ConnContext,
-		ErrorLog:          zap.NewStdLog(nod.cfg.Log),
+		Handler:     hnd,
+		ConnContext: front.ConnContext,
+		ErrorLog:    zap.NewStdLog(nod.cfg.Log),
 	}
 	nod.servers = append(nod.servers, srv)
 	nod.serving.Go(func() {
-		if err := srv.Serve(lsn); !errors.Is(err, http.ErrServerClosed) {
+		if err := nod.intake.Serve(srv, lsn); !errors.Is(err, http.ErrServerClosed) {
 			nod.cfg.Log.Error("listener ended", zap.String("address", address), zap.Error(err))
 		}
 	})
 	return nil
 }
 
-// limits returns the caller limits at the time when the listeners are opened. Later changes take effect at the next start.
-func (nod *Node) limits() (lim cardamompass.CallerLimits) {
-	if tbl := nod.follower.View().Table; tbl != nil {
+// callerLimits returns the limits of a routing table, with defaults for those that it does not set. tbl may be nil.
+func callerLimits(tbl *cardamompass.RoutingTable) (lim cardamompass.CallerLimits) {
+	if tbl != nil {
 		lim = tbl.Limits
 	}
 	lim.HeaderTimeout = cmp.Or(lim.HeaderTimeout, headerTimeout)
--- a/internal/proof/users/users_test.go
+++ b/internal/proof/users/users_test.go
@@ -41,6 +41,15 @@
 }
 
 func newTestFleet(t *testing.T, vms, targets int) (tfl *testFleet) {
+	t.Helper()
+	tfl = prepareTestFleet(t, vms, targets)
+	tfl.Configure(1, reads, writes)
+	tfl.start()
+	return tfl
+}
+
+// prepareTestFleet returns a fleet whose VMs are not started and which has no configuration.
+func prepareTestFleet(t *testing.T, vms, targets int) (tfl *testFleet) {
 	t.Helper()
 	flt, stop, err := pfleet.New(pfleet.Config{
 		Dir:         t.TempDir(),
@@ -55,19 +64,22 @@
 	t.Cleanup(stop)
 	cls, stopCallers := pfleet.NewCallers(flt)
 	t.Cleanup(stopCallers)
-	tfl = &testFleet{
+	return &testFleet{
 		Fleet:   flt,
 		t:       t,
 		callers: cls,
 	}
-	flt.Configure(1, reads, writes)
-	if err = flt.Start(); err != nil {
-		t.Fatal(err)
+}
+
+// start starts the VMs and waits until they are ready.
+func (tfl *testFleet) start() {
+	tfl.t.Helper()
+	if err := tfl.Start(); err != nil {
+		tfl.t.Fatal(err)
 	}
-	for _, vmc := range flt.VMs {
+	for _, vmc := range tfl.VMs {
 		tfl.awaitReady(vmc)
 	}
-	return tfl
 }
 
 func (tfl *testFleet) ready(vmc *pfleet.VM) (ok bool) {
--- a/internal/stand/pfleet/pfleet.go
+++ b/internal/stand/pfleet/pfleet.go
@@ -87,11 +87,20 @@
 	Proxy *fault.Proxy
 }
 
+// Limits are the operator's limits for callers.
+type Limits struct {
+	HeaderBytes   int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
 // Fleet is a site of VMs and targets with their store.
 type Fleet struct {
 	Store   *pstore.Store
 	VMs     []*VM
 	Targets []*Target
+	// Limits are the limits for callers that Configure writes.
+	Limits Limits
 
 	cfg      Config
 	network  string // begin of the fleet's loopback addresses
@@ -105,6 +114,11 @@
 // New starts the store and the targets and prepares the VMs, which Start starts. The returned function stops them all.
 func New(cfg Config) (flt *Fleet, cleanup func(), err error) {
 	flt = &Fleet{
+		Limits: Limits{
+			HeaderBytes:   16384,
+			HeaderTimeout: 3 * time.Second,
+			IdleTimeout:   15 * time.Second,
+		},
 		cfg: cfg,
 		// Fleets of tests that run at the same time must not share addresses: the VMs of one go on probing the port of a target that has
 		// ended, which may by then be that of a target of another.
@@ -181,7 +195,7 @@
 }
 
 // Configure writes the operator's configuration to the store: its version and the path prefixes of idempotent (reads) and
-// non-idempotent (writes) routes.
+// non-idempotent (writes) routes. Its limits are those of the Fleet.
 func (flt *Fleet) Configure(version int, reads, writes []string) {
 	routes := []map[string]any{}
 	for _, prefix := range slices.Concat(reads, writes) {
@@ -215,10 +229,10 @@
 			"coldPerS":   7,
 		}},
 		"limits": map[string]any{
-			"maxHeaderBytes": 16384,
+			"maxHeaderBytes": flt.Limits.HeaderBytes,
 			"maxBodyBytes":   1 << 20,
-			"headerTimeoutS": 3,
-			"idleTimeoutS":   15,
+			"headerTimeoutS": flt.Limits.HeaderTimeout.Seconds(),
+			"idleTimeoutS":   flt.Limits.IdleTimeout.Seconds(),
 		},
 	})
 }
