platform, view, stall: responses of the store may take as long as they make progress

Cause: each call had a limit on its whole time. A watch whose response of 1.3 MB came late in its wait was cut off 0.7 s after it, and the store counted as lost; the watches of an outage wait 20 ms, so the same response never fitted again. Ruled out: a longer limit, which only moves the size; an answer that the store had not sent, since its bytes arrived up to the cut. Change: package stall limits the time until a response begins and the pauses in it, for watches, listings and all other calls. A response to a watch that is longer than any single value is given up for a listing, so that superseded versions are not read.

--- a/internal/fleet/view/follow.go
+++ b/internal/fleet/view/follow.go
@@ -27,10 +27,10 @@
 	// retryMin and retryMax bound the pause after a failed call. Refused calls cost as much as others.
 	retryMin = 100 * time.Millisecond
 	retryMax = 500 * time.Millisecond
-	// listTimeoutMin and listTimeoutMax bound the timeout of a listing. It is the longer one when the store has just answered;
-	// otherwise it starts with the shorter one and doubles with each listing.
-	listTimeoutMin = 1500 * time.Millisecond
-	listTimeoutMax = 10 * time.Second
+	// listPatienceMin and listPatienceMax bound the time within which a listing must begin. It is the longer one when the store has just
+	// answered; otherwise it starts with the shorter one and doubles with each listing.
+	listPatienceMin = 1500 * time.Millisecond
+	listPatienceMax = 10 * time.Second
 	// outageWatchWait is how long the store holds a watch during an outage. A call that the store never answers must not delay
 	// the detection of its recovery for long.
 	outageWatchWait = 20 * time.Millisecond
@@ -54,7 +54,7 @@
 	lastResponse atomic.Int64 // time of the last response of the store, in nanoseconds since the Unix epoch
 	outage       Outage
 	listed       bool
-	listTimeout  time.Duration // of the next listing
+	listPatience time.Duration // of the next listing
 	retryPause   time.Duration
 }
 
@@ -64,9 +64,9 @@
 		cfg.OnChange = func(*View, *View) {}
 	}
 	flw = &Follower{
-		cfg:         cfg,
-		listTimeout: listTimeoutMin,
-		retryPause:  retryMin,
+		cfg:          cfg,
+		listPatience: listPatienceMin,
+		retryPause:   retryMin,
 	}
 	flw.current.Store(Empty())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -137,11 +137,10 @@
 
 func (flw *Follower) fetch(ctx context.Context) (fre fetchResult) {
 	if !flw.listed {
-		lctx, cancel := context.WithTimeout(ctx, flw.listTimeout)
-		defer cancel()
-		flw.listTimeout = min(listTimeoutMax, 2*flw.listTimeout)
+		patience := flw.listPatience
+		flw.listPatience = min(listPatienceMax, 2*patience)
 		fre.listing = true
-		fre.chs, fre.revision, fre.err = flw.cfg.Registry.List(lctx)
+		fre.chs, fre.revision, fre.err = flw.cfg.Registry.List(ctx, patience)
 		return fre
 	}
 	wait := watchWait
@@ -156,9 +155,9 @@
 	var lost *cardamompass.HistoryLostError
 	if errors.As(fre.err, &lost) {
 		flw.recordResponse(flw.View().Revision)
-		flw.cfg.Log.Warn("store history lost", zap.Int64("after", lost.After))
+		flw.cfg.Log.Warn("store history lost", zap.Int64("after", lost.After), zap.NamedError("reason", lost.Err))
 		flw.listed = false
-		flw.listTimeout = listTimeoutMax
+		flw.listPatience = listPatienceMax
 		return
 	}
 	if fre.err != nil {
--- /dev/null
+++ b/internal/fleet/view/slow_test.go
@@ -0,0 +1,198 @@
+package view_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"cardamompass"
+	"cardamompass/internal/edge/send"
+	"cardamompass/internal/fleet/view"
+	"cardamompass/internal/stand/fault"
+	"cardamompass/internal/stand/pstore"
+	"cardamompass/platform"
+)
+
+const (
+	// slowLink is the slowest link of a VM, 11 Mbit/s, in bytes per second.
+	slowLink = 11e6 / 8
+	// applyBound is the time after which a configuration must be in force at VMs with such links.
+	applyBound = 3 * time.Second
+)
+
+// slowFollower follows a store through a link whose bandwidth is limited.
+type slowFollower struct {
+	*view.Follower
+	t    *testing.T
+	sto  *pstore.Store
+	link *fault.Proxy
+	logs *observer.ObservedLogs
+}
+
+// followSlowly returns a follower that has version 1 of a small configuration.
+func followSlowly(t *testing.T) (slf *slowFollower) {
+	t.Helper()
+	slf = newSlowFollower(t)
+	slf.configure(1, 1)
+	slf.start()
+	slf.awaitVersion(1)
+	return slf
+}
+
+// newSlowFollower returns a follower that is not started.
+func newSlowFollower(t *testing.T) (slf *slowFollower) {
+	t.Helper()
+	sto, stopStore, err := pstore.New("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stopStore)
+	prx, stopProxy, err := fault.New(fault.Config{
+		Address:    "127.0.0.1:0",
+		Upstream:   sto.Address(),
+		SendBuffer: 16 << 10,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stopProxy)
+	prx.SetBandwidth(fault.Down, slowLink)
+	return &slowFollower{
+		t:    t,
+		sto:  sto,
+		link: prx,
+	}
+}
+
+func (slf *slowFollower) start() {
+	slf.t.Helper()
+	reg, closeReg := platform.NewRegistry(platform.RegistryConfig{
+		Address: slf.link.Address(),
+		Regions: map[cardamompass.FailureDomain]cardamompass.Region{"z-1": "r-1"},
+		Dial:    send.Dialer(time.Second),
+	})
+	slf.t.Cleanup(closeReg)
+	core, logs := observer.New(zap.InfoLevel)
+	slf.logs = logs
+	flw, stop := view.New(view.Config{
+		Registry: reg,
+		Clock:    cardamompass.SystemClock{},
+		Log:      zap.New(core),
+	})
+	slf.t.Cleanup(stop)
+	slf.Follower = flw
+}
+
+// largeTable is the number of routes of a configuration whose size is close to the limit of the store's values.
+const largeTable = 4200
+
+// configure writes a version of the configuration.
+func (slf *slowFollower) configure(version, routes int) {
+	list := make([]map[string]any, 0, routes)
+	for num := range routes {
+		list = append(list, map[string]any{
+			"name":           fmt.Sprintf("route-%05d", num),
+			"host":           "site.example",
+			"prefix":         fmt.Sprintf("/depot-north-%05d/", num),
+			"kind":           "idempotent",
+			"timeoutS":       1.5,
+			"targetLatencyS": 0.4,
+			"priority":       1,
+			"service":        "svc-1",
+			"attempts":       2,
+			"sticky":         false,
+			"homeRegions":    []string{},
+		})
+	}
+	slf.sto.Put("op/config", map[string]any{
+		"version": fmt.Sprintf("%08x", version),
+		"routes":  list,
+	})
+}
+
+func (slf *slowFollower) awaitVersion(version uint64) {
+	slf.t.Helper()
+	for end := time.Now().Add(applyBound); ; time.Sleep(5 * time.Millisecond) {
+		if tbl := slf.View().Table; tbl != nil && tbl.Version == version {
+			return
+		}
+		if time.Now().After(end) {
+			for _, ent := range slf.logs.All() {
+				slf.t.Log(ent.Time.Format("05.000"), ent.Message, ent.ContextMap()["error"], ent.ContextMap()["reason"])
+			}
+			slf.t.Fatalf("version %d is not in force after %v", version, applyBound)
+		}
+	}
+}
+
+// Guards against a large configuration that never comes into force on a slow link, because each response that brings it is given up
+// after a fixed time and requested again.
+func TestLargeConfigurationOnSlowLink(t *testing.T) {
+	slf := followSlowly(t)
+	for version := 2; version < 8; version++ {
+		time.Sleep(time.Duration(version) * 250 * time.Millisecond) // the change comes at different times of a watch
+		slf.configure(version, largeTable+version)
+		slf.awaitVersion(uint64(version))
+	}
+	if lost := slf.logs.FilterMessage("store lost").Len(); lost > 0 {
+		t.Errorf("the store counted as lost %d times while it answered", lost)
+	}
+}
+
+// Guards against a VM that reads each version of a large configuration that has changed several times, while the newest must be in force.
+func TestLargeConfigurationChangesQuickly(t *testing.T) {
+	slf := followSlowly(t)
+	const last = 13
+	for version := 2; version <= last; version++ {
+		slf.configure(version, largeTable+version)
+		time.Sleep(330 * time.Millisecond)
+	}
+	slf.awaitVersion(last)
+}
+
+// Guards against a listing that never ends because it takes longer than a fixed time: at the start of a VM, and after it has lost the
+// history. With verySlowLink, the listing of a large configuration takes longer than the patience for its beginning ever is.
+func TestLargeListingOnSlowLink(t *testing.T) {
+	const (
+		verySlowLink = slowLink / 12
+		bound        = 20 * time.Second
+	)
+	t.Run("start", func(t *testing.T) {
+		t.Parallel()
+		slf := newSlowFollower(t)
+		slf.link.SetBandwidth(fault.Down, verySlowLink)
+		slf.configure(1, largeTable)
+		slf.start()
+		waitFor(t, bound, "version 1", func() bool { return slf.View().Table != nil })
+	})
+	t.Run("history lost", func(t *testing.T) {
+		t.Parallel()
+		slf := followSlowly(t)
+		slf.link.Cut()
+		slf.configure(2, largeTable)
+		slf.sto.Compact()
+		if err := slf.link.Heal(); err != nil {
+			t.Fatal(err)
+		}
+		slf.link.SetBandwidth(fault.Down, verySlowLink)
+		waitFor(t, bound, "version 2", func() bool { return slf.View().Table.Version == 2 })
+	})
+}
+
+// Guards against a response that stalls and blocks all later changes.
+func TestResponseThatStalls(t *testing.T) {
+	slf := followSlowly(t)
+	before := slf.link.Stats().BytesDown
+	slf.configure(2, largeTable)
+	waitFor(t, applyBound, "begin of the response", func() bool { return slf.link.Stats().BytesDown > before+100_000 })
+	slf.link.Drop(fault.Down)
+	waitFor(t, applyBound, "loss of the store", func() bool { return slf.logs.FilterMessage("store lost").Len() == 1 })
+	if err := slf.link.Heal(); err != nil {
+		t.Fatal(err)
+	}
+	slf.link.SetBandwidth(fault.Down, slowLink)
+	slf.awaitVersion(2)
+}
--- /dev/null
+++ b/internal/plat/stall/stall.go
@@ -0,0 +1,68 @@
+// Package stall ends calls on which nothing arrives.
+//
+// A limit on the whole time of a call must grow with its response, whose size and bandwidth are not known in advance: a response that takes
+// longer would be given up each time, however often the call is repeated. A Watchdog limits the time without progress instead.
+package stall
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrStalled is the cause of a context that a Watchdog has cancelled.
+var ErrStalled = errors.New("the response has stalled")
+
+// Config configures a Watchdog.
+type Config struct {
+	// First is the longest time until the response begins, Gap the longest time between two parts of it.
+	First time.Duration
+	Gap   time.Duration
+}
+
+// Watchdog cancels a context when a response does not begin or does not go on.
+type Watchdog struct {
+	cfg Config
+	tmr *time.Timer
+}
+
+// New returns a context for one call and the Watchdog that cancels it, with ErrStalled as the cause. cleanup ends both.
+func New(ctx context.Context, cfg Config) (wctx context.Context, wdg *Watchdog, cleanup func()) {
+	wctx, cancel := context.WithCancelCause(ctx)
+	wdg = &Watchdog{
+		cfg: cfg,
+		tmr: time.AfterFunc(cfg.First, func() { cancel(ErrStalled) }),
+	}
+	return wctx, wdg, func() {
+		wdg.tmr.Stop()
+		cancel(nil)
+	}
+}
+
+// Reader returns a Reader of the response. Each part that it reads restarts the time of the Watchdog.
+func (wdg *Watchdog) Reader(src io.Reader) (rdr io.Reader) {
+	wdg.tmr.Reset(wdg.cfg.Gap)
+	return &reader{
+		src: src,
+		wdg: wdg,
+	}
+}
+
+// maxRead bounds one read. A chunked response fills the buffer of a read before it returns, so that a long read would hide progress.
+const maxRead = 4 << 10
+
+type reader struct {
+	src io.Reader
+	wdg *Watchdog
+}
+
+// Read implements io.Reader.
+func (rdr *reader) Read(buf []byte) (num int, err error) {
+	num, err = rdr.src.Read(buf[:min(len(buf), maxRead)])
+	if num > 0 {
+		rdr.wdg.tmr.Reset(rdr.wdg.cfg.Gap)
+	}
+	return num, err
+}
--- a/internal/stand/fault/fault.go
+++ b/internal/stand/fault/fault.go
@@ -73,6 +73,8 @@
 	pol policy
 	// chg is closed and replaced when the policy changes.
 	chg chan struct{}
+	// idleAt is the time at which the bytes taken so far have passed the limited bandwidth of a direction.
+	idleAt [2]time.Time
 }
 
 // policy is the set of active faults. It is immutable.
@@ -81,6 +83,8 @@
 	frozen bool
 	drop   [2]bool
 	delay  [2]time.Duration
+	// rate is the bandwidth in bytes per second, 0 if it is not limited.
+	rate [2]float64
 }
 
 // New starts a proxy. The clean-up function closes it with all connections and waits for all of its goroutines.
@@ -114,6 +118,11 @@
 	prx.update(func(pol *policy) { pol.delay[dir] = dur })
 }
 
+// SetBandwidth limits the bytes per second in a direction, of all connections together; 0 ends the limit.
+func (prx *Proxy) SetBandwidth(dir Direction, bytesPerSecond float64) {
+	prx.update(func(pol *policy) { pol.rate[dir] = bytesPerSecond })
+}
+
 // Drop silently drops the bytes of one direction, including the end of the stream, as in a one-way network partition.
 func (prx *Proxy) Drop(dir Direction) { prx.update(func(pol *policy) { pol.drop[dir] = true }) }
 
@@ -173,6 +182,21 @@
 	}
 }
 
+// transmitted returns when num bytes have passed the bandwidth of a direction, after those of earlier calls.
+func (prx *Proxy) transmitted(dir Direction, num int) (at time.Time) {
+	prx.mut.Lock()
+	defer prx.mut.Unlock()
+	now := prx.cfg.Clock.Now()
+	if prx.pol.rate[dir] == 0 {
+		return now
+	}
+	if prx.idleAt[dir].Before(now) {
+		prx.idleAt[dir] = now
+	}
+	prx.idleAt[dir] = prx.idleAt[dir].Add(time.Duration(float64(num) / prx.pol.rate[dir] * float64(time.Second)))
+	return prx.idleAt[dir]
+}
+
 func listen(address string) (lsn net.Listener, err error) {
 	return net.Listen("tcp", address) //nolint:noctx // the listener lives until the proxy closes it
 }
--- a/internal/stand/fault/fault_test.go
+++ b/internal/stand/fault/fault_test.go
@@ -200,3 +200,31 @@
 	fix.pair()
 	fix.until(func(sts fault.Stats) bool { return sts.Connections == 3 && sts.Open == 1 })
 }
+
+// Guards against a bandwidth that is not kept, that each connection has for itself, or that stays after Heal.
+func TestBandwidth(t *testing.T) {
+	fix := start(t)
+	const rate, size = 64 << 10, 32 << 10
+	one, upOne := fix.pair()
+	two, upTwo := fix.pair()
+	before := fix.prx.Stats().BytesDown
+	fix.prx.SetBandwidth(fault.Down, rate)
+	for _, ups := range []net.Conn{upOne, upTwo} {
+		if _, err := ups.Write(make([]byte, size)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for begin := fix.clk.Now(); fix.prx.Stats().BytesDown < before+2*size; fix.clk.Advance(50 * time.Millisecond) {
+		ela := fix.clk.Now().Sub(begin)
+		if got, most := fix.prx.Stats().BytesDown-before, int64(rate*ela.Seconds()); got > most {
+			t.Fatalf("%d bytes after %v, at most %d are allowed", got, ela, most)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	fix.read(one, string(make([]byte, size)))
+	fix.read(two, string(make([]byte, size)))
+	if err := fix.prx.Heal(); err != nil {
+		t.Fatal(err)
+	}
+	fix.send(upOne, one, string(make([]byte, 4*size)))
+}
--- a/internal/stand/fault/pair.go
+++ b/internal/stand/fault/pair.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,8 @@
 	// chunkBytes is the size of one read; queueChunks bounds the chunks queued for one direction, 8 MB.
 	chunkBytes  = 32 << 10
 	queueChunks = 256
+	// pieceBytes is the size of one write while the bandwidth is limited.
+	pieceBytes = 4 << 10
 )
 
 // connPair is one forwarded connection: the one to the client and the one to the upstream.
@@ -160,15 +163,32 @@
 				_ = tcp.CloseWrite()
 			}
 		default:
-			if _, err := dst.Write(chk.dat); err != nil {
-				par.reset()
+			if !par.deliver(dir, chk.dat) {
 				return
 			}
-			par.prx.del[dir].Add(int64(len(chk.dat)))
 		}
 	}
 }
 
+// deliver writes the bytes of a direction, in pieces at the rate of its bandwidth. It returns false if the connection has ended.
+func (par *connPair) deliver(dir Direction, dat []byte) (ok bool) {
+	size := pieceBytes
+	if pol, _ := par.prx.policy(); pol.rate[dir] == 0 {
+		size = chunkBytes
+	}
+	for pce := range slices.Chunk(dat, size) {
+		if !par.wait(par.prx.transmitted(dir, len(pce))) {
+			return false
+		}
+		if _, err := par.con[1-dir].Write(pce); err != nil {
+			par.reset()
+			return false
+		}
+		par.prx.del[dir].Add(int64(len(pce)))
+	}
+	return true
+}
+
 // wait waits until due and until no freeze is active. It returns false if the connection has ended.
 func (par *connPair) wait(due time.Time) (ok bool) {
 	for {
--- a/registry.go
+++ b/registry.go
@@ -42,13 +42,19 @@
 	Err error
 }
 
-// HistoryLostError reports that the store no longer has the changes after a revision. The caller must call List again.
+// HistoryLostError reports that the changes after a revision can't be read: the store no longer has them, or they take many more bytes
+// than its content. The caller must call List again.
 type HistoryLostError struct {
 	// After is the revision from which the caller requested to continue.
 	After int64
+	// Err is the failure of the call.
+	Err error
 }
 
-func (err *HistoryLostError) Error() string { return "the store has discarded the requested history" }
+func (err *HistoryLostError) Error() string { return "the changes can't be read: " + err.Err.Error() }
+
+// Unwrap returns the failure of the call.
+func (err *HistoryLostError) Unwrap() error { return err.Err }
 
 // StatusError reports a call that the store refused. The call had no effect.
 type StatusError struct {
@@ -62,10 +68,11 @@
 
 // Registry is the platform's store as an entry VM uses it. Implementations are safe for concurrent use.
 type Registry interface {
-	// List returns the content of the store as changes, and the revision from which Watch continues.
-	List(ctx context.Context) (chs []Change, revision int64, err error)
-	// Watch waits up to wait for changes after a revision and returns them with the revision from which to continue.
-	// After a HistoryLostError, the caller must call List again.
+	// List returns the content of the store as changes, and the revision from which Watch continues. It fails if the store does not
+	// begin to answer within patience. Once it does, a listing may take as long as it needs.
+	List(ctx context.Context, patience time.Duration) (chs []Change, revision int64, err error)
+	// Watch waits up to wait for changes after a revision and returns them with the revision from which to continue. Reading them may
+	// take longer. After a HistoryLostError, the caller must call List again.
 	Watch(ctx context.Context, after int64, wait time.Duration) (chs []Change, next int64, err error)
 	// Grant creates a lease.
 	Grant(ctx context.Context, ttl time.Duration) (id int64, err error)
