view, platform, front: crashes of an instance count for each of its starts

Cause: a crash was reported, stored and counted by the id of the instance, so that the second crash was the same entry as the first. Ruled out: crashes that are not detected, and reports that lapse; each crash was written, to the same key. Change: the start time of the instance is part of a crash, of its key in the store and of the count. A report without it, from a VM of the earlier build, counts only if no other VM has reported a crash of that instance with its start. Evidence: front.TestContentThatCrashesOneTargetAgain on the code before: after 3 crashes: status 200, 4 runs.

--- a/internal/edge/front/crash.go
+++ b/internal/edge/front/crash.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// crashLimit is the number of crashed instances after which requests with the same content are refused. One or two crashes can
+	// crashLimit is the number of crashes after which requests with the same content are refused. One or two crashes can
 	// be coincidence, because other requests are in flight at an instance that crashes.
 	crashLimit = 3
 	// crashCheckDelay is the time between the break of a connection and the check whether the target still listens.
@@ -37,8 +37,8 @@
 	return hex.EncodeToString(dgs.Sum(nil))
 }
 
-// blocked reports whether requests with this content are refused: they crashed at least crashLimit instances and no target has
-// answered one since.
+// blocked reports whether requests with this content are refused: instances crashed on them at least crashLimit times and no target
+// has answered one since.
 func (frt *Front) blocked(vew *view.View, content string) (ok bool) {
 	if vew.Crashes(content) < crashLimit {
 		return false
@@ -77,6 +77,7 @@
 			frt.cfg.OnCrash(cardamompass.Crash{
 				Fingerprint: content,
 				Instance:    ins.ID,
+				StartMillis: ins.StartMillis,
 			})
 		}
 	})
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -457,6 +457,35 @@
 	}
 }
 
+// Guards against a request that crashes the same target again and again, because the target comes back under its id: review/2 broke BUDGET
+// with 12 late retries.
+func TestContentThatCrashesOneTargetAgain(t *testing.T) {
+	fxt := newFixture(t, 1)
+	ins, _ := fxt.view().Instance("i-0")
+	tgt := fxt.targets[0]
+	tgt.SetFault(ptarg.FaultCrash)
+	for num := range 3 {
+		ins.StartMillis = int64(1000 + num)
+		fxt.apply(cardamompass.Change{Instance: &ins})
+		if status, _, _ := fxt.send("/write/a", "r-1"); status != 502 {
+			t.Fatalf("crash %d: status %d", num+1, status)
+		}
+		fxt.front.WaitCrashChecks()
+		if err := tgt.Restart(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ins.StartMillis = 2000
+	fxt.apply(cardamompass.Change{Instance: &ins})
+	tgt.SetFault(ptarg.FaultNone)
+	if status, hdr, _ := fxt.send("/write/a", "r-1"); status != 503 || hdr.Get("Retry-After") == "" || fxt.runs() != 3 {
+		t.Errorf("after 3 crashes: status %d, %d runs", status, fxt.runs())
+	}
+	if status, _, _ := fxt.send("/write/b", "r-2"); status != 200 {
+		t.Errorf("request with other content: status %d", status)
+	}
+}
+
 // Guards against new requests that keep a VM from stopping, and against callers that stay connected to a VM that stops.
 func TestStop(t *testing.T) {
 	fxt := newFixture(t, 1)
--- a/internal/fleet/view/follow.go
+++ b/internal/fleet/view/follow.go
@@ -242,7 +242,8 @@
 		case chg.VMRemoved != "":
 			log.Info("vm gone", zap.String("vm", string(chg.VMRemoved)))
 		case chg.Crash != nil:
-			log.Warn("crash known", zap.String("fingerprint", chg.Crash.Fingerprint), zap.String("instance", string(chg.Crash.Instance)))
+			log.Warn("crash known", zap.String("fingerprint", chg.Crash.Fingerprint), zap.String("instance", string(chg.Crash.Instance)),
+				zap.Int64("start", chg.Crash.StartMillis))
 		}
 	}
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -38,7 +38,7 @@
 	evacuated    map[cardamompass.FailureDomain]bool
 	vms          map[cardamompass.VMID]cardamompass.VM
 	crashes      map[cardamompass.Crash]bool
-	crashCounts  map[string]int // number of crashed instances by fingerprint
+	crashCounts  map[string]int // number of crashes by fingerprint
 	byService    map[cardamompass.ServiceName][]cardamompass.Instance
 	sortedVMs    []cardamompass.VM // vms sorted by id
 }
@@ -74,7 +74,8 @@
 	return vmc, ok
 }
 
-// Crashes returns the number of instances that crashed while a request with this fingerprint was in flight there.
+// Crashes returns the number of times that an instance crashed while a request with this fingerprint was in flight there. Instances that
+// crashed after different starts count for each of them.
 func (vew *View) Crashes(fingerprint string) (count int) { return vew.crashCounts[fingerprint] }
 
 // WithChanges returns the view after changes, applied in order. now is the time at which they were received.
@@ -210,13 +211,30 @@
 	vew.sortedVMs = slices.SortedFunc(maps.Values(vew.vms), func(one, two cardamompass.VM) int {
 		return strings.Compare(string(one.ID), string(two.ID))
 	})
-	vew.crashCounts = make(map[string]int)
-	for crs := range vew.crashes {
-		vew.crashCounts[crs.Fingerprint]++
-	}
+	vew.crashCounts = countCrashes(vew.crashes)
 	for _, list := range vew.byService {
 		slices.SortFunc(list, func(one, two cardamompass.Instance) int {
 			return strings.Compare(string(one.ID), string(two.ID))
 		})
 	}
 }
+
+// countCrashes returns the number of crashes by fingerprint. VMs of an earlier version report no start; such a report may be that of a
+// crash which another VM has reported with its start, and counts only if there is none.
+func countCrashes(crashes map[cardamompass.Crash]bool) (counts map[string]int) {
+	counts = make(map[string]int)
+	started := make(map[cardamompass.Crash]bool)
+	for crs := range crashes {
+		if crs.StartMillis != 0 {
+			counts[crs.Fingerprint]++
+			crs.StartMillis = 0
+			started[crs] = true
+		}
+	}
+	for crs := range crashes {
+		if crs.StartMillis == 0 && !started[crs] {
+			counts[crs.Fingerprint]++
+		}
+	}
+	return counts
+}
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -123,3 +123,37 @@
 		t.Fatal("a new view changed the old one")
 	}
 }
+
+// Guards against crashes of an instance that count once although it had started again, and against crashes that count twice because
+// several VMs report them, of which one runs an earlier version.
+func TestCrashCount(t *testing.T) {
+	tests := []struct {
+		name   string
+		starts []int64 // of the crashed instance i-1
+		others []cardamompass.InstanceID
+		want   int
+	}{
+		{"none", nil, nil, 0},
+		{"different instances", nil, []cardamompass.InstanceID{"i-2", "i-3"}, 2},
+		{"the same start", []int64{100, 100}, nil, 1},
+		{"different starts", []int64{100, 200, 300}, nil, 3},
+		{"different starts and instances", []int64{100, 200}, []cardamompass.InstanceID{"i-2"}, 3},
+		{"without a start", []int64{0, 0}, nil, 1},
+		{"with and without a start", []int64{0, 100}, nil, 1},
+		{"with several starts and without one", []int64{100, 0, 200}, nil, 2},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			chs := []cardamompass.Change{{Crash: &cardamompass.Crash{Fingerprint: "other", Instance: "i-1"}}}
+			for _, stt := range tst.starts {
+				chs = append(chs, cardamompass.Change{Crash: &cardamompass.Crash{Fingerprint: "c-1", Instance: "i-1", StartMillis: stt}})
+			}
+			for _, id := range tst.others {
+				chs = append(chs, cardamompass.Change{Crash: &cardamompass.Crash{Fingerprint: "c-1", Instance: id}})
+			}
+			if got := view.Empty().WithChanges(chs, 1, view.Outage{}, start).Crashes("c-1"); got != tst.want {
+				t.Fatalf("%d crashes, want %d", got, tst.want)
+			}
+		})
+	}
+}
--- a/internal/stand/ptarg/ptarg.go
+++ b/internal/stand/ptarg/ptarg.go
@@ -68,6 +68,8 @@
 	FaultEndlessExtension Fault = "endless-extension"
 	// FaultEndlessTrailer sends trailer lines without end.
 	FaultEndlessTrailer Fault = "endless-trailer"
+	// FaultCrash ends the target when it has run a request, until Restart.
+	FaultCrash Fault = "crash"
 )
 
 // Config configures a Target.
@@ -93,8 +95,10 @@
 	cfg     Config
 	address string
 	running atomic.Int64
+	serving sync.WaitGroup
 
 	mu      sync.Mutex
+	server  *http.Server
 	fault   Fault
 	leaving bool
 	// retryAfter is the value of Retry-After in refusals; empty for none.
@@ -114,26 +118,45 @@
 
 // New starts a target and returns the function that stops it.
 func New(cfg Config) (tgt *Target, cleanup func(), err error) {
-	lsn, err := new(net.ListenConfig).Listen(context.Background(), "tcp", cfg.Address)
-	if err != nil {
-		return nil, nil, err
-	}
 	tgt = &Target{
 		cfg:       cfg,
-		address:   lsn.Addr().String(),
+		address:   cfg.Address,
 		idleSince: make(map[net.Conn]time.Time),
 	}
+	if err = tgt.Restart(); err != nil {
+		return nil, nil, err
+	}
+	return tgt, func() {
+		tgt.crash()
+		tgt.serving.Wait()
+	}, nil
+}
+
+// Restart starts a target that has crashed, at the address that it had. It must not be called before the crash.
+func (tgt *Target) Restart() (err error) {
+	lsn, err := new(net.ListenConfig).Listen(context.Background(), "tcp", tgt.address)
+	if err != nil {
+		return err
+	}
+	tgt.address = lsn.Addr().String()
 	srv := &http.Server{
 		Handler:           tgt,
 		ReadHeaderTimeout: time.Minute,
 		ConnState:         tgt.connState,
 	}
-	var serving sync.WaitGroup
-	serving.Go(func() { _ = srv.Serve(lsn) })
-	return tgt, func() {
-		_ = srv.Close()
-		serving.Wait()
-	}, nil
+	tgt.mu.Lock()
+	tgt.server = srv
+	tgt.mu.Unlock()
+	tgt.serving.Go(func() { _ = srv.Serve(lsn) })
+	return nil
+}
+
+// crash closes the listener and all connections.
+func (tgt *Target) crash() {
+	tgt.mu.Lock()
+	srv := tgt.server
+	tgt.mu.Unlock()
+	_ = srv.Close() // the state of the connections is of no interest any more
 }
 
 // Address returns the host:port of the target.
@@ -314,6 +337,8 @@
 	switch flt {
 	case FaultReset:
 		panic(http.ErrAbortHandler)
+	case FaultCrash:
+		tgt.crash()
 	case FaultTruncated:
 		tgt.writeRaw(wrt, full[:len(full)-5], false)
 	case FaultGarbage:
--- a/registry.go
+++ b/registry.go
@@ -29,11 +29,14 @@
 	Rejected *RejectedEntry
 }
 
-// Crash identifies a request that was in flight at an instance when the instance crashed.
+// Crash identifies a request that was in flight at an instance when the instance crashed. An instance may start again under its id and
+// crash again, which is another Crash.
 type Crash struct {
 	// Fingerprint identifies the content of the request.
 	Fingerprint string
 	Instance    InstanceID
+	// StartMillis is that of the instance that crashed, 0 if not specified.
+	StartMillis int64
 }
 
 // RejectedEntry is an entry of the store that can't be decoded.
