place: what an earlier start of an instance did no longer counts for the next one

Change: outcomes and warm objects belong to an instance and its start time; loads that other VMs saw before its registration are ignored. Callers: a restarted target is neither avoided for what its earlier start did nor given objects that it doesn't know.

--- a/internal/steer/place/choose.go
+++ b/internal/steer/place/choose.go
@@ -332,7 +332,7 @@
 	sta := cnd.sta
 	slots := cnd.slots()
 	cnd.load = sta.estimatedLoad(now)
-	cnd.warm = hst.warm(sta.ins.ID, now)
+	cnd.warm = hst.warm(sta.key(), now)
 	work := 1.0
 	switch {
 	case cnd.warm:
--- a/internal/steer/place/place.go
+++ b/internal/steer/place/place.go
@@ -81,6 +81,9 @@
 			sta.standing = bal.newStart(ins, known, now)
 			bal.states[ins.ID] = sta
 			sta.coldUntil = now.Add(ins.ColdFor)
+			if known {
+				sta.loadAt = now // loads that other VMs saw before are those of the earlier start
+			}
 		}
 		if old.Evacuated(ins.FailureDomain) && !vew.Evacuated(ins.FailureDomain) {
 			// Targets of an evacuated failure domain may have become cold in the meantime.
@@ -203,13 +206,13 @@
 		news = bal.standing(out.Instance, out.StartMillis, now).record(out, now)
 	}
 	sta, ok := bal.states[out.Instance]
-	if !ok {
-		return news
+	if !ok || sta.ins.StartMillis != out.StartMillis {
+		return news // the instance has gone, or has started again and holds nothing of before
 	}
 	sta.inFlight = max(0, sta.inFlight-1)
 	sta.recordOutcome(out, now)
 	if out.Result == ResultAnswered {
-		bal.history(out.AffinityHash).record(out.Instance, now)
+		bal.history(out.AffinityHash).record(sta.key(), now)
 	}
 	return news
 }
--- a/internal/steer/place/state.go
+++ b/internal/steer/place/state.go
@@ -53,6 +53,14 @@
 	}
 }
 
+// key identifies the start of the instance.
+func (sta *state) key() (key startKey) {
+	return startKey{
+		id:     sta.ins.ID,
+		millis: sta.ins.StartMillis,
+	}
+}
+
 func (sta *state) recordOutcome(out Outcome, now time.Time) {
 	if out.Load != nil {
 		sta.setLoad(*out.Load, now)
@@ -154,13 +162,13 @@
 	return max(1, ctr.samples[0].count)
 }
 
-// history holds the instances that recently answered requests of this VM on an object.
+// history holds the starts of instances that recently answered requests of this VM on an object.
 type history struct {
 	entries [historyLength]entry
 }
 
 type entry struct {
-	ins cardamompass.InstanceID
+	key startKey
 	at  time.Time
 }
 
@@ -174,10 +182,10 @@
 	maxHistories = 20000
 )
 
-func (hst *history) record(id cardamompass.InstanceID, now time.Time) {
+func (hst *history) record(key startKey, now time.Time) {
 	oldest := 0
 	for num := range hst.entries {
-		if hst.entries[num].ins == id {
+		if hst.entries[num].key == key {
 			hst.entries[num].at = now
 			return
 		}
@@ -186,14 +194,14 @@
 		}
 	}
 	hst.entries[oldest] = entry{
-		ins: id,
+		key: key,
 		at:  now,
 	}
 }
 
-func (hst *history) warm(id cardamompass.InstanceID, now time.Time) (ok bool) {
+func (hst *history) warm(key startKey, now time.Time) (ok bool) {
 	for num := range hst.entries {
-		if hst.entries[num].ins == id && now.Sub(hst.entries[num].at) < warmTTL {
+		if hst.entries[num].key == key && now.Sub(hst.entries[num].at) < warmTTL {
 			return true
 		}
 	}
