node, front, place, direct: bounds of a changed settings file apply to the running process

A budget keeps its tokens, so that no change allows extra requests at once. Names, addresses and resources (limits) still hold until the next start; a file with a fault still changes nothing. Evidence: users.TestChangedBounds on the code before: not within 2s: shorter life of look-ups. It passes now.

--- a/cmd/entryvm/serve.go
+++ b/cmd/entryvm/serve.go
@@ -71,8 +71,9 @@
 	defer cleanup()
 	log.Info("started", zap.String("failure-domain", string(set.FailureDomain)), zap.String("store", set.StoreAddress))
 	(&reloader{
-		path: path,
-		log:  log.Logger,
+		path:  path,
+		log:   log.Logger,
+		apply: nod.SetBounds,
 	}).run(signals)
 	nod.Stop()
 	log.Info("stopped", zap.Int64("lines-dropped", log.Dropped()+out.Dropped()))
@@ -123,9 +124,10 @@
 
 // reloader checks the settings file again on SIGHUP and when its content changes.
 type reloader struct {
-	path string
-	log  *zap.Logger
-	last []byte
+	path  string
+	log   *zap.Logger
+	apply func(set cardamompass.VMSettings)
+	last  []byte
 }
 
 // run returns when a signal requests a planned stop.
@@ -147,8 +149,8 @@
 	}
 }
 
-// reload validates the file if it has changed or if requested is set. The process keeps its settings in any case: new ones
-// take effect at the next start.
+// reload validates the file if it has changed or if requested is set, and applies it. The process keeps its settings if the file is not
+// valid.
 func (rld *reloader) reload(requested bool) {
 	data, err := os.ReadFile(rld.path)
 	if err != nil {
@@ -159,10 +161,12 @@
 		return
 	}
 	rld.last = data
-	if _, err = platform.ParseSettings(data); err != nil {
+	set, err := platform.ParseSettings(data)
+	if err != nil {
 		rld.log.Warn("settings kept", zap.Error(err))
 		return
 	}
+	rld.apply(set)
 	rld.log.Info("settings checked", zap.Bool("asked", requested))
 }
 
--- a/internal/edge/direct/direct.go
+++ b/internal/edge/direct/direct.go
@@ -38,8 +38,9 @@
 	OtherVMs func() []cardamompass.VM
 	// Stopping reports whether this VM is stopping; it then leaves itself out of responses.
 	Stopping func() bool
-	MaxTTL   time.Duration
-	Log      *zap.Logger
+	// MaxTTL returns the longest time for which a caller may use a response; 0 if there is no limit. Optional.
+	MaxTTL func() time.Duration
+	Log    *zap.Logger
 }
 
 // Handler is the HTTP handler of look-ups. It is safe for concurrent use.
@@ -47,6 +48,9 @@
 
 // New returns a Handler.
 func New(cfg Config) (hnd *Handler) {
+	if cfg.MaxTTL == nil {
+		cfg.MaxTTL = func() time.Duration { return 0 }
+	}
 	return &Handler{
 		cfg: cfg,
 	}
@@ -56,8 +60,8 @@
 func (hnd *Handler) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
 	lkp := hnd.cfg.Protocol.ParseLookup(req.URL.Query())
 	ttl := responseTTL
-	if hnd.cfg.MaxTTL > 0 {
-		ttl = min(ttl, hnd.cfg.MaxTTL)
+	if limit := hnd.cfg.MaxTTL(); limit > 0 {
+		ttl = min(ttl, limit)
 	}
 	addresses := Addresses(hnd.running(), lkp)
 	body, err := hnd.cfg.Protocol.EncodeLookupResponse(addresses, ttl)
--- a/internal/edge/front/bench_test.go
+++ b/internal/edge/front/bench_test.go
@@ -65,7 +65,9 @@
 	mtr, stopMetrics := metric.New(metric.Config{})
 	defer stopMetrics()
 	frt, stopFront := front.New(front.Config{
-		Settings: cardamompass.VMSettings{RetryBudgetPercent: 20, RetryBudgetSlack: 56, RetryBudgetWindow: 10 * time.Second},
+		Settings: func() cardamompass.VMSettings {
+			return cardamompass.VMSettings{RetryBudgetPercent: 20, RetryBudgetSlack: 56, RetryBudgetWindow: 10 * time.Second}
+		},
 		Protocol: platform.Protocol{},
 		Clock:    cardamompass.SystemClock{},
 		Log:      log,
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -41,7 +41,8 @@
 
 // Config configures a Front.
 type Config struct {
-	Settings cardamompass.VMSettings
+	// Settings returns the current settings.
+	Settings func() cardamompass.VMSettings
 	Protocol cardamompass.Protocol
 	Clock    cardamompass.Clock
 	Log      *zap.Logger
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -95,7 +95,9 @@
 	})
 	mtr, stopMetrics := metric.New(metric.Config{})
 	frt, stopFront := front.New(front.Config{
-		Settings: cardamompass.VMSettings{RetryBudgetPercent: 20, RetryBudgetSlack: 56, RetryBudgetWindow: 10 * time.Second},
+		Settings: func() cardamompass.VMSettings {
+			return cardamompass.VMSettings{RetryBudgetPercent: 20, RetryBudgetSlack: 56, RetryBudgetWindow: 10 * time.Second}
+		},
 		Protocol: platform.Protocol{},
 		Clock:    cardamompass.SystemClock{},
 		Log:      zap.NewNop(),
--- a/internal/edge/front/policy.go
+++ b/internal/edge/front/policy.go
@@ -38,21 +38,21 @@
 // retryBudget returns this VM's part of the retry budget of a service, from which retries and hedges are taken.
 func (frt *Front) retryBudget(svc cardamompass.ServiceName) (bud *budget.Budget) {
 	now := frt.cfg.Clock.Now()
-	set := frt.cfg.Settings
+	set := frt.cfg.Settings()
 	count := frt.cfg.Balancer.VMs(now)
-	minimum := int(math.Floor(budgetFraction * float64(set.RetryBudgetSlack) / float64(count)))
+	cfg := budget.Config{
+		Percent: int(budgetFraction * float64(set.RetryBudgetPercent)),
+		Minimum: int(math.Floor(budgetFraction * float64(set.RetryBudgetSlack) / float64(count))),
+		Window:  set.RetryBudgetWindow,
+	}
 	frt.mu.Lock()
 	defer frt.mu.Unlock()
 	bud, ok := frt.budgets[svc]
 	if !ok {
-		bud = budget.New(budget.Config{
-			Percent: int(budgetFraction * float64(set.RetryBudgetPercent)),
-			Minimum: minimum,
-			Window:  set.RetryBudgetWindow,
-		}, now)
+		bud = budget.New(cfg, now)
 		frt.budgets[svc] = bud
 	}
-	bud.SetMinimum(minimum, now)
+	bud.SetConfig(cfg, now)
 	return bud
 }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -52,6 +52,7 @@
 
 // Config configures a Node.
 type Config struct {
+	// Settings are the settings at the start; see SetBounds.
 	Settings cardamompass.VMSettings
 	Protocol cardamompass.Protocol
 	Registry cardamompass.Registry
@@ -68,6 +69,7 @@
 type Node struct {
 	cfg       Config
 	self      cardamompass.VM
+	settings  atomic.Pointer[cardamompass.VMSettings] // replaced as a whole
 	follower  *view.Follower
 	presence  *presence
 	exchanger *cast.Exchanger
@@ -109,14 +111,13 @@
 			Capacity:      set.Capacity(),
 		},
 		balancer: place.New(place.Config{
-			Self:           set.ID,
-			Region:         set.Region,
-			Regions:        set.Regions,
-			ColdOverage:    set.ColdOverage,
-			ColdSlack:      set.ColdSlack,
-			MaxRegionShift: set.MaxRegionShift,
+			Self:    set.ID,
+			Region:  set.Region,
+			Regions: set.Regions,
+			Bounds:  placeBounds(set),
 		}),
 	}
+	nod.settings.Store(&set)
 	scp := cfg.Metrics.Scope()
 	connections := scp.Counter("target-connections")
 	nod.sender = startComponent(nod, func() (*send.Sender, func()) {
@@ -156,12 +157,30 @@
 	return nod, nod.close, nil
 }
 
+// Settings returns the current settings.
+func (nod *Node) Settings() (set cardamompass.VMSettings) { return *nod.settings.Load() }
+
+// SetBounds applies the bounds of changed settings. The identity, the addresses and the resources of the VM hold until its next start.
+func (nod *Node) SetBounds(changed cardamompass.VMSettings) {
+	set := nod.Settings().WithBounds(changed)
+	nod.settings.Store(&set)
+	nod.balancer.SetBounds(placeBounds(set))
+}
+
+func placeBounds(set cardamompass.VMSettings) (bnd place.Bounds) {
+	return place.Bounds{
+		ColdOverage:    set.ColdOverage,
+		ColdSlack:      set.ColdSlack,
+		MaxRegionShift: set.MaxRegionShift,
+	}
+}
+
 // startFront starts the handler of callers' requests.
 func (nod *Node) startFront(reports *reporter, scp tally.Scope) {
 	cfg := nod.cfg
 	nod.front = startComponent(nod, func() (*front.Front, func()) {
 		return front.New(front.Config{
-			Settings: cfg.Settings,
+			Settings: nod.Settings,
 			Protocol: cfg.Protocol,
 			Clock:    cfg.Clock,
 			Log:      cfg.Log,
@@ -277,7 +296,7 @@
 		Protocol: nod.cfg.Protocol,
 		OtherVMs: nod.exchanger.OtherVMs,
 		Stopping: nod.stopping.Load,
-		MaxTTL:   set.MaxLookupTTL,
+		MaxTTL:   func() time.Duration { return nod.Settings().MaxLookupTTL },
 		Log:      nod.cfg.Log,
 	})
 	lookupRoutes, readyRoutes, metricRoutes := mux.NewRouter(), mux.NewRouter(), mux.NewRouter()
--- a/internal/edge/node/presence.go
+++ b/internal/edge/node/presence.go
@@ -96,7 +96,7 @@
 		return errors.New("no routing table is known yet")
 	}
 	if prs.lease == 0 {
-		if prs.lease, err = prs.nod.cfg.Registry.Grant(prs.ctx, max(leaseTTL, prs.nod.cfg.Settings.MinLeaseTTL)); err != nil {
+		if prs.lease, err = prs.nod.cfg.Registry.Grant(prs.ctx, max(leaseTTL, prs.nod.Settings().MinLeaseTTL)); err != nil {
 			return err
 		}
 	}
--- a/internal/edge/node/stop.go
+++ b/internal/edge/node/stop.go
@@ -37,7 +37,7 @@
 		defer cancel()
 		nod.presence.withdraw(ctx)
 	})
-	last := nod.cfg.Settings.GraceTime - stopMargin
+	last := nod.Settings().GraceTime - stopMargin
 	for {
 		ela := nod.cfg.Clock.Now().Sub(begin)
 		if ela >= stopAcceptTime {
--- a/internal/proof/users/limits_test.go
+++ b/internal/proof/users/limits_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -36,6 +37,25 @@
 	return rsp.StatusCode
 }
 
+// Guards against bounds of the settings file that stay as they were when the process started.
+func TestChangedBounds(t *testing.T) {
+	tfl := newTestFleet(t, 1, 2)
+	vmc := tfl.VMs[0]
+	lookup := "http://" + vmc.LookupAddress() + "/v1/resolve?name=" + pfleet.Host + "&region=east&zone=east-1"
+	if text := tfl.get(lookup); !strings.Contains(text, `"ttlS":2`) {
+		t.Fatalf("look-up before the change: %s", text)
+	}
+	data, err := os.ReadFile(vmc.SettingsPath())
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer("ttl_max_s=5", "ttl_max_s=0.5", "budgetSlack=56", "budgetSlack=4").Replace(string(data))
+	if err = os.WriteFile(vmc.SettingsPath(), []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tfl.await(pfleet.ConfigBound, "shorter life of look-ups", func() bool { return strings.Contains(tfl.get(lookup), `"ttlS":0.5`) })
+}
+
 // dial opens a connection of a caller.
 func dial(t *testing.T, vmc *pfleet.VM) (con net.Conn) {
 	t.Helper()
--- a/internal/steer/budget/budget.go
+++ b/internal/steer/budget/budget.go
@@ -28,6 +28,14 @@
 	Window time.Duration
 }
 
+func (cfg Config) withDefaults() (out Config) {
+	cfg.Minimum = max(2, cfg.Minimum)
+	if cfg.Window <= 0 {
+		cfg.Window = 10 * time.Second
+	}
+	return cfg
+}
+
 // RetryConfig returns the budget of retries: 10% of requests.
 func RetryConfig() (cfg Config) {
 	return Config{
@@ -55,10 +63,7 @@
 
 // Start returns the initial state of a budget.
 func Start(cfg Config, now time.Time) (sta State) {
-	cfg.Minimum = max(2, cfg.Minimum)
-	if cfg.Window <= 0 {
-		cfg.Window = 10 * time.Second
-	}
+	cfg = cfg.withDefaults()
 	return State{
 		cfg:          cfg,
 		scaledTokens: capacity(cfg),
@@ -139,21 +144,21 @@
 	return bud.sta
 }
 
-// SetMinimum changes the minimum of the budget. Tokens above the new capacity are discarded; none are added.
-func (bud *Budget) SetMinimum(minimum int, now time.Time) {
+// SetConfig changes the configuration of the budget. Tokens above the new capacity are discarded; none are added.
+func (bud *Budget) SetConfig(cfg Config, now time.Time) {
 	bud.mut.Lock()
 	defer bud.mut.Unlock()
-	bud.sta = bud.sta.WithMinimum(minimum, now)
+	bud.sta = bud.sta.WithConfig(cfg, now)
 }
 
-// WithMinimum returns the state with another minimum, which is raised to 2 if it is lower.
-func (sta State) WithMinimum(minimum int, now time.Time) (next State) {
-	minimum = max(2, minimum)
-	if minimum == sta.cfg.Minimum {
+// WithConfig returns the state with another configuration.
+func (sta State) WithConfig(cfg Config, now time.Time) (next State) {
+	cfg = cfg.withDefaults()
+	if cfg == sta.cfg {
 		return sta
 	}
 	next = sta.withRefill(now)
-	next.cfg.Minimum = minimum
-	next.scaledTokens = min(next.scaledTokens, capacity(next.cfg))
+	next.cfg = cfg
+	next.scaledTokens = min(next.scaledTokens, capacity(cfg))
 	return next
 }
--- a/internal/steer/budget/budget_test.go
+++ b/internal/steer/budget/budget_test.go
@@ -105,3 +105,36 @@
 		})
 	}
 }
+
+// Guards against a changed budget that stays as it was, and against extra requests that a change allows at once.
+func TestChangedConfig(t *testing.T) {
+	now := time.Unix(1000, 0)
+	old := budget.Config{Percent: 20, Minimum: 20, Window: 10 * time.Second}
+	tests := []struct {
+		name     string
+		next     budget.Config
+		atOnce   int // extra requests after the change
+		requests int // that follow
+		then     int // extra requests after these
+	}{
+		{"the same", old, 10, 50, 10},
+		{"a smaller minimum", budget.Config{Percent: 20, Minimum: 8, Window: 10 * time.Second}, 4, 50, 4},
+		{"a greater minimum", budget.Config{Percent: 20, Minimum: 60, Window: 10 * time.Second}, 10, 50, 20},
+		{"no part of the requests", budget.Config{Percent: 0, Minimum: 20, Window: 10 * time.Second}, 10, 50, 10},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			bud := budget.New(old, now)
+			bud.SetConfig(tst.next, now)
+			if got := bud.State().Tokens(); got != tst.atOnce {
+				t.Fatalf("%d extra requests at once, want %d", got, tst.atOnce)
+			}
+			for range tst.requests {
+				bud.Request(now)
+			}
+			if got := bud.State().Tokens(); got != tst.then {
+				t.Fatalf("%d extra requests after %d requests, want %d", got, tst.requests, tst.then)
+			}
+		})
+	}
+}
--- a/internal/steer/place/choose.go
+++ b/internal/steer/place/choose.go
@@ -304,7 +304,7 @@
 // coldQuota returns the number of requests per second that this VM may send to a cold instance. The quotas of all VMs add up to the bound
 // less one, which allows for requests that are sent while the number of VMs changes.
 func (bal *Balancer) coldQuota(ins *cardamompass.Instance, now time.Time) (quota int) {
-	total := int(math.Floor(bal.policy(ins.Service).ColdRate*bal.cfg.ColdOverage+bal.cfg.ColdSlack)) - 1
+	total := int(math.Floor(bal.policy(ins.Service).ColdRate*bal.cfg.Bounds.ColdOverage+bal.cfg.Bounds.ColdSlack)) - 1
 	count := bal.vms.count(now)
 	if now.Sub(bal.started) < discoveryTime && count < len(bal.cfg.Regions) {
 		return 0
--- a/internal/steer/place/place.go
+++ b/internal/steer/place/place.go
@@ -20,6 +20,15 @@
 	"cardamompass/internal/fleet/view"
 )
 
+// Bounds are the limits on the requests that a Balancer allows. They can change while it is in use.
+type Bounds struct {
+	// ColdOverage and ColdSlack bound the requests per second to a cold instance: its rate times the overage plus the slack.
+	ColdOverage float64
+	ColdSlack   float64
+	// MaxRegionShift is the fraction of a region's requests that may change the serving region within two seconds.
+	MaxRegionShift float64
+}
+
 // Config configures a Balancer.
 type Config struct {
 	// Self is this VM. Region is its region, whose callers it serves.
@@ -27,11 +36,8 @@
 	Region cardamompass.Region
 	// Regions maps failure domains to regions. Callers are assumed to be spread evenly over the failure domains.
 	Regions map[cardamompass.FailureDomain]cardamompass.Region
-	// ColdOverage and ColdSlack bound the requests per second to a cold instance: its rate times the overage plus the slack.
-	ColdOverage float64
-	ColdSlack   float64
-	// MaxRegionShift is the fraction of a region's requests that may change the serving region within two seconds.
-	MaxRegionShift float64
+	// Bounds are the limits until SetBounds is called.
+	Bounds Bounds
 }
 
 // Balancer tracks the state of every instance and chooses among them. It is safe for concurrent use and reads no clock.
@@ -117,6 +123,13 @@
 	return bal.vew.Table.Services[svc]
 }
 
+// SetBounds replaces the bounds.
+func (bal *Balancer) SetBounds(bnd Bounds) {
+	bal.mu.Lock()
+	defer bal.mu.Unlock()
+	bal.cfg.Bounds = bnd
+}
+
 // SetRunningVMs sets the number of VMs that announce that they run, this one included.
 func (bal *Balancer) SetRunningVMs(count int, now time.Time) {
 	bal.mu.Lock()
--- a/internal/steer/place/place_test.go
+++ b/internal/steer/place/place_test.go
@@ -81,12 +81,14 @@
 
 func newBoard(num int) (bal *place.Balancer) {
 	return place.New(place.Config{
-		Self:           cardamompass.VMID(fmt.Sprintf("vm-%d", num)),
-		Region:         "a",
-		Regions:        regions,
-		ColdOverage:    1.5,
-		ColdSlack:      5,
-		MaxRegionShift: 0.15,
+		Self:    cardamompass.VMID(fmt.Sprintf("vm-%d", num)),
+		Region:  "a",
+		Regions: regions,
+		Bounds: place.Bounds{
+			ColdOverage:    1.5,
+			ColdSlack:      5,
+			MaxRegionShift: 0.15,
+		},
 	})
 }
 
--- a/internal/steer/place/split.go
+++ b/internal/steer/place/split.go
@@ -41,7 +41,7 @@
 		spl.current, spl.movedAt = spl.goal, now
 	}
 	if ela := now.Sub(spl.movedAt); ela >= splitInterval {
-		spl.current = moveSplit(spl.current, spl.goal, bal.cfg.MaxRegionShift*splitShiftFraction*ela.Seconds()/shiftWindow.Seconds())
+		spl.current = moveSplit(spl.current, spl.goal, bal.cfg.Bounds.MaxRegionShift*splitShiftFraction*ela.Seconds()/shiftWindow.Seconds())
 		spl.movedAt = now
 	}
 	return spl.current
--- a/vmsettings.go
+++ b/vmsettings.go
@@ -44,6 +44,21 @@
 	MaxRegionShift float64
 }
 
+// WithBounds returns the settings with the bounds of others: the times, budgets and rates that can change while the VM runs. Its identity,
+// its addresses and its resources stay.
+func (set VMSettings) WithBounds(oth VMSettings) (out VMSettings) {
+	set.MinLeaseTTL = oth.MinLeaseTTL
+	set.GraceTime = oth.GraceTime
+	set.RetryBudgetPercent = oth.RetryBudgetPercent
+	set.RetryBudgetSlack = oth.RetryBudgetSlack
+	set.RetryBudgetWindow = oth.RetryBudgetWindow
+	set.ColdOverage = oth.ColdOverage
+	set.ColdSlack = oth.ColdSlack
+	set.MaxLookupTTL = oth.MaxLookupTTL
+	set.MaxRegionShift = oth.MaxRegionShift
+	return set
+}
+
 const (
 	// requestCPUSeconds is the processor time of a request in seconds, including its log lines; see BenchmarkRequest of
 	// package front.
