httpc, kvhttp, spread: reads of the store may take as long as they make progress

Change: the watchdog of package stall; a whole read ends after 30 s. Its error is a context.DeadlineExceeded, as callers expect. Evidence: kvhttp.TestSlowResponse on the code before: context deadline exceeded; it passes now, as do the tests of the fleet.

--- a/internal/fleet/spread/agent.go
+++ b/internal/fleet/spread/agent.go
@@ -27,8 +27,11 @@
 	// pushTimeout and pullTimeout bound the calls between peers. A pull may carry a whole document.
 	pushTimeout = 2 * time.Second
 	pullTimeout = 5 * time.Second
-	// storeTimeout bounds a call of the store, in addition to the wait of a watch.
-	storeTimeout = 5 * time.Second
+	// readTimeout bounds a read of the store, in addition to the wait of a watch. A whole document takes long on a slow link; the client
+	// gives up a read without progress earlier.
+	readTimeout = 30 * time.Second
+	// writeTimeout bounds a write to the store.
+	writeTimeout = 5 * time.Second
 )
 
 // Membership is the interface to the membership.
@@ -257,7 +260,7 @@
 	case Pull:
 		agt.spawn(func() { agt.pull(eff, agt.address(eff.To)) })
 	case Watch:
-		ctx, cancel := agt.callCtx(eff.Wait + storeTimeout)
+		ctx, cancel := agt.callCtx(eff.Wait + readTimeout)
 		agt.stopWatch = cancel
 		agt.spawn(func() {
 			defer cancel()
@@ -268,7 +271,7 @@
 		agt.stopWatch()
 	case Get:
 		agt.spawn(func() {
-			ctx, cancel := agt.callCtx(storeTimeout)
+			ctx, cancel := agt.callCtx(readTimeout)
 			defer cancel()
 			val, err := agt.cfg.Store.Get(ctx, agt.cfg.Core.Key)
 			agt.readDone(eff.Call, val, err)
@@ -326,7 +329,7 @@
 }
 
 func (agt *Agent[D]) put(eff Put) {
-	ctx, cancel := agt.callCtx(storeTimeout)
+	ctx, cancel := agt.callCtx(writeTimeout)
 	defer cancel()
 	val, err := agt.cfg.Store.Put(ctx, agt.cfg.Core.Key, eff.Data, eff.Revision)
 	if err != nil {
--- a/internal/plat/httpc/httpc.go
+++ b/internal/plat/httpc/httpc.go
@@ -1,6 +1,6 @@
 // Package httpc makes HTTP calls with JSON to the platform's services.
 //
-// Every call has a deadline and a limit on the size of its response, and connections are reused. A failed call reports whether
+// Every call has a limit on the time without progress and on the size of its response, and connections are reused. A failed call reports whether
 // any byte of it may have left this process, because the outcome of a write that may have been sent must be determined by
 // reading.
 package httpc
@@ -20,10 +20,11 @@
 	"github.com/pkg/errors"
 
 	"cardamompass"
+	"cardamompass/internal/plat/stall"
 )
 
 const (
-	// DefaultTimeout bounds a call whose Config sets no timeout.
+	// DefaultTimeout is used if a Config sets no timeout.
 	DefaultTimeout = 2 * time.Second
 	// maxConns bounds the connections to one service; further calls wait for a connection until their deadline.
 	maxConns = 64
@@ -37,7 +38,7 @@
 type Config struct {
 	// Address is the IP address and port of the service.
 	Address string
-	// Timeout bounds every call, including the dial. Zero means DefaultTimeout.
+	// Timeout bounds the time until a response begins, including the dial, and the pauses in it. Zero means DefaultTimeout.
 	Timeout time.Duration
 	// MaxResponseBytes bounds the body of a response.
 	MaxResponseBytes int64
@@ -59,7 +60,7 @@
 	Header http.Header
 	// Body is encoded as JSON unless it is nil.
 	Body any
-	// ExtraTimeout is added to the client's timeout, for calls whose response the service delays, such as a watch.
+	// ExtraTimeout is added to the time until the response begins, for calls that the service delays, such as a watch.
 	ExtraTimeout time.Duration
 }
 
@@ -114,8 +115,11 @@
 // process.
 func (cli *Client) Do(ctx context.Context, cal Call) (rpl Reply, sent bool, err error) {
 	defer func() { err = errors.Wrapf(err, "%s %s", cal.Method, cal.Target) }()
-	ctx, cancel := context.WithTimeout(ctx, cli.cfg.Timeout+cal.ExtraTimeout)
-	defer cancel()
+	ctx, wdg, stop := stall.New(ctx, stall.Config{
+		First: cli.cfg.Timeout + cal.ExtraTimeout,
+		Gap:   cli.cfg.Timeout,
+	})
+	defer stop()
 	var snt atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, sentTrace(&snt))
 	req, err := cli.request(ctx, cal)
@@ -127,7 +131,7 @@
 		return Reply{}, snt.Load(), err
 	}
 	defer func() { _ = rsp.Body.Close() }()
-	dat, err := io.ReadAll(io.LimitReader(rsp.Body, cli.cfg.MaxResponseBytes+1))
+	dat, err := io.ReadAll(io.LimitReader(wdg.Reader(rsp.Body), cli.cfg.MaxResponseBytes+1))
 	if err != nil {
 		return Reply{}, true, err
 	}
--- a/internal/plat/kvhttp/kvhttp.go
+++ b/internal/plat/kvhttp/kvhttp.go
@@ -27,7 +27,7 @@
 type Config struct {
 	// Address is the IP address and port of the store.
 	Address string
-	// Timeout bounds every call; the wait of a watch is added to it. Zero means 2 s.
+	// Timeout bounds the time until a response begins and the pauses in it; the wait of a watch is added to the former. Zero means 2 s.
 	Timeout time.Duration
 }
 
--- a/internal/plat/kvhttp/kvhttp_test.go
+++ b/internal/plat/kvhttp/kvhttp_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,6 +14,7 @@
 
 	"cardamompass"
 	"cardamompass/internal/plat/kvhttp"
+	"cardamompass/internal/plat/stall"
 	"cardamompass/internal/stand/ctrl"
 	"cardamompass/internal/stand/kvsrv"
 )
@@ -235,3 +237,40 @@
 		t.Fatalf("%d watches were counted, want 3 or more", got)
 	}
 }
+
+// Guards against a value that can never be read on a slow link, because each response is given up after a fixed time, and against one
+// that stalls and is waited for.
+func TestSlowResponse(t *testing.T) {
+	const (
+		timeout = 400 * time.Millisecond
+		parts   = 20
+	)
+	part := strings.Repeat("QUJD", 1000)
+	handler := func(stallAfter int) http.HandlerFunc {
+		return func(wrt http.ResponseWriter, req *http.Request) {
+			_, _ = io.WriteString(wrt, `{"key":"doc","revision":7,"value":"`) // errors show in the result of the call
+			for num := range parts {
+				if num == stallAfter {
+					<-req.Context().Done()
+					return
+				}
+				_, _ = io.WriteString(wrt, part)
+				_ = http.NewResponseController(wrt).Flush()
+				time.Sleep(timeout / 8)
+			}
+			_, _ = io.WriteString(wrt, `"}`)
+		}
+	}
+	slow := client(t, serve(t, handler(parts)), timeout)
+	if val, err := slow.Get(t.Context(), "doc"); err != nil || val.Revision != 7 || len(val.Data) != parts*3000 {
+		t.Errorf("slow response: %d bytes, error %v", len(val.Data), err)
+	}
+	if val, err := slow.Watch(t.Context(), "doc", 6, time.Second); err != nil || val.Revision != 7 {
+		t.Errorf("slow response to a watch: revision %d, error %v", val.Revision, err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if _, err := client(t, serve(t, handler(parts/2)), timeout).Get(ctx, "doc"); !errors.Is(err, stall.ErrStalled) {
+		t.Errorf("response that stalls: error %v", err)
+	}
+}
--- a/internal/plat/stall/stall.go
+++ b/internal/plat/stall/stall.go
@@ -8,12 +8,20 @@
 	"context"
 	"io"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
-// ErrStalled is the cause of a context that a Watchdog has cancelled.
-var ErrStalled = errors.New("the response has stalled")
+// ErrStalled is the cause of a context that a Watchdog has cancelled. It is a context.DeadlineExceeded.
+var ErrStalled error = stalledError{}
+
+type stalledError struct{}
+
+func (stalledError) Error() string { return "the response has stalled" }
+
+// Timeout reports that the error is a timeout, as in net.Error.
+func (stalledError) Timeout() bool { return true }
+
+// Is reports whether target is context.DeadlineExceeded.
+func (stalledError) Is(target error) bool { return target == context.DeadlineExceeded }
 
 // Config configures a Watchdog.
 type Config struct {
