fault, pstore: a busy machine takes no bandwidth and no time of the store away

Traces: each version took 2.4 s and more from its write on, with 1 s of link and no 'store lost'; the proxy counted its bandwidth from the time at which it got to write each piece, so that each late wake-up was lost to the link. In ChangesQuickly the stand-in of the store did not begin a response within 2.2 s: it encoded up to 15 MB anew for each watch. Change: bandwidth counts from the arrival of the bytes; changes are encoded once. Bounds and contents of the tests stay.

--- a/internal/stand/fault/fault.go
+++ b/internal/stand/fault/fault.go
@@ -182,16 +182,16 @@
 	}
 }
 
-// transmitted returns when num bytes have passed the bandwidth of a direction, after those of earlier calls.
-func (prx *Proxy) transmitted(dir Direction, num int) (at time.Time) {
+// transmitted returns when num bytes that are ready to be sent at a time have passed the bandwidth of a direction, after those of earlier
+// calls. It does not depend on the time of the call, so that a busy machine does not take bandwidth away.
+func (prx *Proxy) transmitted(dir Direction, num int, ready time.Time) (at time.Time) {
 	prx.mut.Lock()
 	defer prx.mut.Unlock()
-	now := prx.cfg.Clock.Now()
 	if prx.pol.rate[dir] == 0 {
-		return now
+		return ready
 	}
-	if prx.idleAt[dir].Before(now) {
-		prx.idleAt[dir] = now
+	if prx.idleAt[dir].Before(ready) {
+		prx.idleAt[dir] = ready
 	}
 	prx.idleAt[dir] = prx.idleAt[dir].Add(time.Duration(float64(num) / prx.pol.rate[dir] * float64(time.Second)))
 	return prx.idleAt[dir]
--- a/internal/stand/fault/pair.go
+++ b/internal/stand/fault/pair.go
@@ -163,21 +163,21 @@
 				_ = tcp.CloseWrite()
 			}
 		default:
-			if !par.deliver(dir, chk.dat) {
+			if !par.deliver(dir, chk) {
 				return
 			}
 		}
 	}
 }
 
-// deliver writes the bytes of a direction, in pieces at the rate of its bandwidth. It returns false if the connection has ended.
-func (par *connPair) deliver(dir Direction, dat []byte) (ok bool) {
+// deliver writes a chunk of a direction, in pieces at the rate of its bandwidth. It returns false if the connection has ended.
+func (par *connPair) deliver(dir Direction, chk chunk) (ok bool) {
 	size := pieceBytes
 	if pol, _ := par.prx.policy(); pol.rate[dir] == 0 {
 		size = chunkBytes
 	}
-	for pce := range slices.Chunk(dat, size) {
-		if !par.wait(par.prx.transmitted(dir, len(pce))) {
+	for pce := range slices.Chunk(chk.dat, size) {
+		if !par.wait(par.prx.transmitted(dir, len(pce), chk.due)) {
 			return false
 		}
 		if _, err := par.con[1-dir].Write(pce); err != nil {
--- a/internal/stand/pstore/handlers.go
+++ b/internal/stand/pstore/handlers.go
@@ -1,6 +1,8 @@
 package pstore
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -67,26 +69,20 @@
 			wrt.WriteHeader(http.StatusGone)
 			return
 		}
-		events := []item{}
-		for _, itm := range sto.history {
-			if itm.Rev > after && strings.HasPrefix(itm.Key, prefix) {
-				events = append(events, itm)
+		var events []event
+		for _, evt := range sto.history {
+			if evt.rev > after && strings.HasPrefix(evt.key, prefix) {
+				events = append(events, evt)
 			}
 		}
 		rev, changed := sto.rev, sto.changed
 		if len(events) > watchEvents {
 			events = events[:watchEvents]
-			rev = events[watchEvents-1].Rev
+			rev = events[watchEvents-1].rev
 		}
 		sto.mu.Unlock()
 		if len(events) > 0 || timedOut {
-			ctrl.WriteJSON(wrt, http.StatusOK, struct {
-				Events     []item `json:"events"`
-				CurrentRev int64  `json:"currentRev"`
-			}{
-				Events:     events,
-				CurrentRev: rev,
-			})
+			writeEvents(wrt, events, rev)
 			return
 		}
 		select {
@@ -99,6 +95,19 @@
 	}
 }
 
+// writeEvents writes the response to a watch.
+func writeEvents(wrt http.ResponseWriter, events []event, rev int64) {
+	wrt.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(wrt, `{"events":[`) // a caller that has disconnected asks again
+	for num, evt := range events {
+		if num > 0 {
+			_, _ = io.WriteString(wrt, ",")
+		}
+		_, _ = wrt.Write(evt.encoded)
+	}
+	_, _ = fmt.Fprintf(wrt, `],"currentRev":%d}`, rev)
+}
+
 func (sto *Store) txn(wrt http.ResponseWriter, req *http.Request) {
 	var body struct {
 		Expect []struct {
--- a/internal/stand/pstore/pstore.go
+++ b/internal/stand/pstore/pstore.go
@@ -49,6 +49,13 @@
 	Removed        bool   `json:"removed,omitempty"`
 }
 
+// event is a change of an item. It is encoded once, since each watch returns it.
+type event struct {
+	key     string
+	rev     int64
+	encoded json.RawMessage
+}
+
 type lease struct {
 	ttl       time.Duration
 	expiresAt time.Time
@@ -60,7 +67,7 @@
 	rev          int64
 	compactedRev int64 // changes up to this revision are discarded
 	items        map[string]item
-	history      []item
+	history      []event
 	leases       map[int64]*lease
 	lastLeaseID  int64
 	faults       Faults
@@ -156,8 +163,7 @@
 		itm.CreateRevision = old.CreateRevision
 	}
 	sto.items[key] = itm
-	sto.history = append(sto.history, itm)
-	sto.notify()
+	sto.record(itm)
 }
 
 func (sto *Store) remove(key string) {
@@ -166,11 +172,24 @@
 	}
 	delete(sto.items, key)
 	sto.rev++
-	sto.history = append(sto.history, item{
+	sto.record(item{
 		Key:     key,
 		Rev:     sto.rev,
 		Removed: true,
 	})
+}
+
+// record adds a change to the history.
+func (sto *Store) record(itm item) {
+	data, err := json.Marshal(itm)
+	if err != nil {
+		panic(err) // an item has no field that can't be encoded
+	}
+	sto.history = append(sto.history, event{
+		key:     itm.Key,
+		rev:     itm.Rev,
+		encoded: data,
+	})
 	sto.notify()
 }
 
