proof: edits are seen only when they are in force

The site starts with a limit of 65,536 bytes, and an edit set it to 1,000 plus its number: a request saw an edit before anybody had made it. The test so restored the store 0.01 s after the first edit, before any VM had read it. Trace: in the failing run each of the seven VMs has one 'document-in-force' line, version 1, though the test took the edit for seen by all. Change: edits raise the limit that the site starts with, as their comment says, so that seeing one, its time and 'took back' can fail. TestEditNotMade fails with the earlier constant at all seven VMs and passes now, as do the other tests of edits.

--- a/internal/proof/edit_test.go
+++ b/internal/proof/edit_test.go
@@ -25,8 +25,8 @@
 const (
 	// editBound is the time in which an accepted edit is in force at every entry VM of today's fleet.
 	editBound = time.Second
-	// firstLimit is the longest body before the first edit; each edit raises it by one byte.
-	firstLimit = 1000
+	// firstLimit is the longest body before the first edit, that of the site; each edit raises it by one byte.
+	firstLimit = 64 << 10
 	// giveUp bounds the wait for an edit that missed the bound, so that the test can say how late it was.
 	giveUp = 20 * time.Second
 	// repairBound is longer than a whole watch of the store (30 s), the turns of three watchers and two pauses between
@@ -133,6 +133,18 @@
 	return worst, nil
 }
 
+// TestEditNotMade guards against checks of edits that can't fail: a request through an entry VM must not see an edit that nobody
+// has made.
+func TestEditNotMade(tst *testing.T) {
+	newSeed(tst)
+	sit := procs.ForTest(tst, undivided(site(tst, sevenPlaces)))
+	for _, vmp := range sit.VMs {
+		if seen, err := sees(vmp, 1); err != nil || seen {
+			tst.Errorf("%s: edit 1 is seen: %v, error %v", vmp.Place.ID, seen, err)
+		}
+	}
+}
+
 // TestEditSeen guards against an accepted edit that some entry VM puts in force late or never.
 func TestEditSeen(tst *testing.T) {
 	const rounds = 20
