platform, view: large configurations come into force in time on slow links

Callers saw: added routes refused with 404, later than the bound on changes, while a large configuration changed on slow links.

Cause: a watch returns each changed version of an item whole, and the VM paused up to 1 s after each change. With 67 VMs at 10 Mbit/s and 1 MB, one version was in force after 2.2 s of the 3 s allowed, and one that came 1.1 s after another only later than 3 s: both versions were read, or 1.65 MB and then a listing. Everything else waited behind the transfer.

On TestLargeConfigurationChangesQuickly failed in both cases (versions 330 ms and 1.1 s apart, "version 3 is not in force after 3s"), TestSmallChangesDuringLargeTransfer too ("evacuation and state of the target not within 750ms"). The first ran at 22 Mbit/s before and measured only the last version; it now runs at 10 Mbit/s, with 67 VMs, and measures each version.

Change: where the largest value takes over 0.4 s to read, a watch is given up after 32 KiB; the newest configuration is read by its key, the other changes every 250 ms beside it, and the pause is 0.1 s. A version is never read twice, and the worst case is two transfers. After: both tests pass, the slowest version 2.71 s, changes beside a transfer within 750 ms. On faster links nothing changes.

Ruled out: watches for each prefix all the time (five calls in place of one); a listing (reads the targets again, too).

--- a/cmd/entryvm/serve.go
+++ b/cmd/entryvm/serve.go
@@ -92,9 +92,10 @@
 ) (nod *node.Node, cleanup func(), err error) {
 	calls := mtr.Scope()
 	reg, closeRegistry := platform.NewRegistry(platform.RegistryConfig{
-		Address: set.StoreAddress,
-		Regions: set.Regions,
-		Dial:    send.Dialer(storeUserTimeout),
+		Address:           set.StoreAddress,
+		Regions:           set.Regions,
+		Dial:              send.Dialer(storeUserTimeout),
+		LinkBitsPerSecond: set.LinkBitsPerSecond,
 		OnCall: func(call, result string) {
 			calls.Tagged(map[string]string{
 				"call":   call,
--- a/internal/fleet/view/follow.go
+++ b/internal/fleet/view/follow.go
@@ -21,6 +21,9 @@
 	batchPerVM = 30 * time.Millisecond
 	batchMin   = 400 * time.Millisecond
 	batchMax   = time.Second
+	// batchSlowTable is the pause while the routing table takes long to read. Together with two reads, one of the version before, the
+	// usual pause would use up the time that a change has.
+	batchSlowTable = 100 * time.Millisecond
 	// fullResponse is the number of changes from which on a response to a watch is taken for one that was cut, so that more changes
 	// wait. The store returns at most 500 at a time.
 	fullResponse = 400
@@ -56,6 +59,8 @@
 	listed       bool
 	listPatience time.Duration // of the next listing
 	retryPause   time.Duration
+	// early passes on changes that arrive before the call that reads them has ended.
+	early chan []cardamompass.Change
 }
 
 // New starts to follow the store and returns the function that stops it.
@@ -67,6 +72,7 @@
 		cfg:          cfg,
 		listPatience: listPatienceMin,
 		retryPause:   retryMin,
+		early:        make(chan []cardamompass.Change),
 	}
 	flw.current.Store(Empty())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -108,7 +114,7 @@
 	}
 }
 
-// await waits for the result of a call and meanwhile removes instances that did not register again.
+// await waits for the result of a call and meanwhile applies changes that arrive early and removes instances that did not register again.
 func (flw *Follower) await(got <-chan fetchResult) (fre fetchResult) {
 	for {
 		tmr := flw.cfg.Clock.NewTimer(purgeInterval)
@@ -116,12 +122,24 @@
 		case fre = <-got:
 			tmr.Stop()
 			return fre
+		case chs := <-flw.early:
+			tmr.Stop()
+			flw.applyEarly(chs)
 		case <-tmr.C():
 			flw.purge()
 		}
 	}
 }
 
+// applyEarly applies changes before the call that reads them has ended. The view stays at its revision, from which a call that fails is
+// repeated.
+func (flw *Follower) applyEarly(chs []cardamompass.Change) {
+	now := flw.cfg.Clock.Now()
+	flw.lastResponse.Store(now.UnixNano())
+	flw.logChanges(chs)
+	flw.publish(flw.View().WithChanges(chs, flw.View().Revision, flw.outage, now))
+}
+
 func (flw *Follower) purge() {
 	if flw.outage.Ongoing {
 		return
@@ -147,7 +165,15 @@
 	if flw.outage.Ongoing {
 		wait = outageWatchWait
 	}
-	fre.chs, fre.revision, fre.err = flw.cfg.Registry.Watch(ctx, flw.View().Revision, wait)
+	fre.chs, fre.revision, fre.err = flw.cfg.Registry.Watch(ctx, flw.View().Revision, wait, func(chs []cardamompass.Change) {
+		if len(chs) == 0 {
+			return
+		}
+		select {
+		case flw.early <- chs:
+		case <-ctx.Done():
+		}
+	})
 	return fre
 }
 
@@ -179,6 +205,9 @@
 		return
 	}
 	pause := min(batchMax, max(batchMin, batchPerVM*time.Duration(len(flw.View().vms))))
+	if flw.cfg.Registry.TableReadTime() > 0 {
+		pause = batchSlowTable
+	}
 	_ = cardamompass.Sleep(ctx, flw.cfg.Clock, pause) // run notices the end of ctx
 }
 
--- a/internal/fleet/view/purge_test.go
+++ b/internal/fleet/view/purge_test.go
@@ -23,7 +23,7 @@
 	return []cardamompass.Change{instance("i-1"), instance("i-2")}, 1, nil
 }
 
-func (reg *busyRegistry) Watch(context.Context, int64, time.Duration) (chs []cardamompass.Change, next int64, err error) {
+func (reg *busyRegistry) Watch(context.Context, int64, time.Duration, func([]cardamompass.Change)) (chs []cardamompass.Change, next int64, err error) {
 	switch num := reg.calls.Add(1); num {
 	case 1:
 		return nil, 0, errors.New("unavailable")
@@ -52,7 +52,7 @@
 	return []cardamompass.Change{instance("i-2")}, 2, nil
 }
 
-func (reg *compactedRegistry) Watch(context.Context, int64, time.Duration) (chs []cardamompass.Change, next int64, err error) {
+func (reg *compactedRegistry) Watch(context.Context, int64, time.Duration, func([]cardamompass.Change)) (chs []cardamompass.Change, next int64, err error) {
 	switch reg.watches.Add(1) {
 	case 1:
 		return nil, 0, errors.New("unavailable")
@@ -94,3 +94,9 @@
 	waitFor(t, changeBound, "listing", func() bool { return len(flw.View().Instances("svc")) == 2 })
 	waitFor(t, view.ReregisterTime+changeBound/2, "removal", func() bool { return len(flw.View().Instances("svc")) == 1 })
 }
+
+// TableReadTime implements cardamompass.Registry.
+func (reg *busyRegistry) TableReadTime() (dur time.Duration) { return 0 }
+
+// TableReadTime implements cardamompass.Registry.
+func (reg *compactedRegistry) TableReadTime() (dur time.Duration) { return 0 }
--- a/internal/fleet/view/slow_test.go
+++ b/internal/fleet/view/slow_test.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// slowLink is the slowest link of a VM, 11 Mbit/s, in bytes per second.
-	slowLink = 11e6 / 8
+	// slowLink is the slowest link of a VM, 10 Mbit/s, in bytes per second.
+	slowLink = 10e6 / 8
+	// largeFleet is the number of VMs of a deployment with such links.
+	largeFleet = 67
 	// applyBound is the time after which a configuration must be in force at VMs with such links.
 	applyBound = 3 * time.Second
 )
@@ -71,9 +73,10 @@
 func (slf *slowFollower) start() {
 	slf.t.Helper()
 	reg, closeReg := platform.NewRegistry(platform.RegistryConfig{
-		Address: slf.link.Address(),
-		Regions: map[cardamompass.FailureDomain]cardamompass.Region{"z-1": "r-1"},
-		Dial:    send.Dialer(time.Second),
+		Address:           slf.link.Address(),
+		Regions:           map[cardamompass.FailureDomain]cardamompass.Region{"z-1": "r-1"},
+		Dial:              send.Dialer(time.Second),
+		LinkBitsPerSecond: 8 * slowLink,
 	})
 	slf.t.Cleanup(closeReg)
 	core, logs := observer.New(zap.InfoLevel)
@@ -97,6 +100,15 @@
 		`"timeoutS":1.5,"targetLatencyS":0.4,"service":"svc-1","attempts":2}]}`, version, strings.Repeat("n", size)))
 }
 
+// addVMs adds entries of other VMs to the store. The pause between two watches grows with their number.
+func (slf *slowFollower) addVMs(count int) {
+	slf.t.Helper()
+	for num := range count {
+		slf.sto.Put(fmt.Sprintf("vm/vm-%d", num), map[string]string{"region": "r-1"})
+	}
+	waitFor(slf.t, applyBound, "entries of VMs", func() bool { return len(slf.View().VMs()) == count })
+}
+
 func (slf *slowFollower) awaitVersion(version uint64) {
 	slf.t.Helper()
 	for end := time.Now().Add(applyBound); ; time.Sleep(5 * time.Millisecond) {
@@ -126,16 +138,75 @@
 	}
 }
 
-// Guards against a VM that reads each version of a large configuration that has changed several times, while the newest must be in force.
+// Guards against a VM on a slow link that reads each version of a large configuration that has changed several times, or reads the whole store to
+// skip some, while the newest version must be in force within the bound. The versions come at two paces: several within one transfer, and
+// one a little later than a transfer takes.
 func TestLargeConfigurationChangesQuickly(t *testing.T) {
+	for _, tst := range []struct {
+		name     string
+		interval time.Duration
+		versions int
+	}{
+		{"several versions within a transfer", 330 * time.Millisecond, 12},
+		{"a version after each transfer", 1100 * time.Millisecond, 5},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			t.Parallel()
+			slf := followSlowly(t)
+			slf.addVMs(largeFleet)
+			accepted := make(map[uint64]time.Time)
+			last, applied := uint64(1), uint64(1)
+			for next := time.Now(); applied < uint64(tst.versions)+1; time.Sleep(5 * time.Millisecond) {
+				now := time.Now()
+				if last <= uint64(tst.versions) && !now.Before(next) {
+					last++
+					slf.configure(int(last), largeTable+int(last))
+					accepted[last] = time.Now()
+					next = now.Add(tst.interval)
+				}
+				for ; applied < slf.View().Table.Version; applied++ {
+					t.Logf("version %d in force after %v", applied+1, now.Sub(accepted[applied+1]))
+				}
+				if applied < last && now.Sub(accepted[applied+1]) > applyBound {
+					t.Fatalf("version %d is not in force after %v", applied+1, applyBound)
+				}
+			}
+		})
+	}
+}
+
+// Guards against changes that wait until a large configuration has arrived: a target that leaves, and a failure domain that is evacuated.
+func TestSmallChangesDuringLargeTransfer(t *testing.T) {
+	const bound = 750 * time.Millisecond // a transfer takes 1 s
 	slf := followSlowly(t)
-	slf.link.SetBandwidth(fault.Down, 2*slowLink) // a version is read after a response that is given up, so that it takes two transfers
-	const last = 13
-	for version := 2; version <= last; version++ {
+	slf.sto.PutRaw("servers/i-1", registration("ready", 1))
+	waitFor(t, applyBound, "registration", func() bool { return len(slf.View().All()) == 1 })
+	version := 2
+	slf.configure(version, largeTable) // the first large version, from which the duration of a transfer is known
+	slf.awaitVersion(uint64(version))
+	for round := range 3 {
+		version++
+		before := slf.link.Stats().BytesDown
 		slf.configure(version, largeTable+version)
-		time.Sleep(330 * time.Millisecond)
+		waitFor(t, applyBound, "begin of the transfer", func() bool { return slf.link.Stats().BytesDown > before+100_000 })
+		zone := cardamompass.FailureDomain(fmt.Sprintf("z-%d", round+2))
+		slf.sto.PutRaw("op/evacuate/"+string(zone), []byte("{}"))
+		state := []string{"draining", "ready"}[round%2]
+		slf.sto.PutRaw("servers/i-1", registration(state, round+2))
+		waitFor(t, bound, "evacuation and state of the target", func() bool {
+			ins, _ := slf.View().Instance("i-1")
+			return slf.View().Evacuated(zone) && ins.Leaving == (state == "draining")
+		})
+		slf.awaitVersion(uint64(version))
 	}
-	slf.awaitVersion(last)
+	slf.sto.Delete("servers/i-1")
+	waitFor(t, applyBound, "removal", func() bool { return len(slf.View().All()) == 0 })
+}
+
+// registration returns the store entry of a target.
+func registration(state string, seq int) (data []byte) {
+	return fmt.Appendf(nil, `{"addr":"10.0.0.1:1","born":1,"info":{"service":"svc-1","zone":"z-1","slots":3},"status":{"state":"%s","seq":%d,"coldLeftS":0}}`,
+		state, seq)
 }
 
 // Guards against a listing that never ends because it takes longer than a fixed time: at the start of a VM, and after it has lost the
--- a/registry.go
+++ b/registry.go
@@ -75,8 +75,11 @@
 	// begin to answer within patience. Once it does, a listing may take as long as it needs.
 	List(ctx context.Context, patience time.Duration) (chs []Change, revision int64, err error)
 	// Watch waits up to wait for changes after a revision and returns them with the revision from which to continue. Reading them may
-	// take longer. After a HistoryLostError, the caller must call List again.
-	Watch(ctx context.Context, after int64, wait time.Duration) (chs []Change, next int64, err error)
+	// take longer: early is then called with those that have arrived, in order, while the others are read, and chs contains them again.
+	// After a HistoryLostError, the caller must call List again.
+	Watch(ctx context.Context, after int64, wait time.Duration, early func(chs []Change)) (chs []Change, next int64, err error)
+	// TableReadTime returns the estimated time that it takes to read the routing table; 0 if it is short or unknown.
+	TableReadTime() (dur time.Duration)
 	// Grant creates a lease.
 	Grant(ctx context.Context, ttl time.Duration) (id int64, err error)
 	// Renew extends a lease. A NotFoundError means that the lease has ended.
