--- /dev/null
+++ b/team.go
@@ -0,0 +1,20 @@
+package cardamompass
+
+// TeamName is the name of a team.
+type TeamName string
+
+// Team is a group of callers that share keys, a quota and a priority. It is immutable.
+type Team struct {
+	Name TeamName
+	// Priority replaces that of the route; 0 is the highest.
+	Priority int
+	// Rate is the number of requests per second that the team may send to all VMs together, Burst the number beyond it that it may send at
+	// once. There is no limit if both are 0.
+	Rate  float64
+	Burst float64
+	// HomeRegions are the regions that may serve the team; empty if all may.
+	HomeRegions []Region
+}
+
+// Limited reports whether the team has a quota.
+func (tea *Team) Limited() (ok bool) { return tea.Rate > 0 || tea.Burst > 0 }
