mirror: VMs that the store turns away learn newer routing tables from other VMs

Cause: the store may refuse some VMs for longer than a change may take (9 s, against 3 s and 5 s more while the store is in disruption). Such a VM served by its old table and accepted keys that had been taken away.

Change: package mirror, net/rpc over TCP at the port of the datagrams. During an outage of over 1 s a VM asks one other VM each 0.5 s for a table newer than its own, in the store's form, compressed. It takes evacuations that begin, never the end of one. Everything else comes from the store alone; versions never go back.

Weighed: datagrams (a table has up to 1 MB); package spread of `cardamompass serve` (it needs the membership and a shared key, which the platform's settings don't have); asking all the time (the store's watch is as fast and already there).

--- a/cmd/entryvm/serve.go
+++ b/cmd/entryvm/serve.go
@@ -107,6 +107,7 @@
 		Settings:     set,
 		Protocol:     platform.Protocol{},
 		Registry:     reg,
+		Tables:       reg,
 		Clock:        cardamompass.SystemClock{},
 		Log:          log.Logger,
 		Metrics:      mtr,
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -23,6 +23,7 @@
 	"cardamompass/internal/edge/intake"
 	"cardamompass/internal/edge/send"
 	"cardamompass/internal/fleet/cast"
+	"cardamompass/internal/fleet/mirror"
 	"cardamompass/internal/fleet/view"
 	"cardamompass/internal/obs/metric"
 	"cardamompass/internal/steer/place"
@@ -56,9 +57,11 @@
 	Settings cardamompass.VMSettings
 	Protocol cardamompass.Protocol
 	Registry cardamompass.Registry
-	Clock    cardamompass.Clock
-	Log      *zap.Logger
-	Metrics  *metric.Metrics
+	// Tables encodes and decodes routing tables, to pass them from VM to VM. Optional.
+	Tables  mirror.Codec
+	Clock   cardamompass.Clock
+	Log     *zap.Logger
+	Metrics *metric.Metrics
 	// LinesDropped returns the number of log lines that were dropped.
 	LinesDropped func() int64
 	// Incarnation distinguishes the runs of the process.
@@ -144,6 +147,10 @@
 		nod.close()
 		return nil, nil, err
 	}
+	if err = nod.startMirror(); err != nil {
+		nod.close()
+		return nil, nil, err
+	}
 	reports := startComponent(nod, func() (*reporter, func()) { return newReporter(cfg) })
 	nod.startFront(reports, scp)
 	nod.waitForTable()
@@ -221,6 +228,29 @@
 	return nil
 }
 
+// startMirror starts to pass the routing table to other VMs, and to read it from them while the store does not answer.
+func (nod *Node) startMirror() (err error) {
+	if nod.cfg.Tables == nil {
+		return nil
+	}
+	_, stop, err := mirror.New(mirror.Config{
+		Address: nod.self.PeerAddress,
+		Codec:   nod.cfg.Tables,
+		View:    nod.follower.View,
+		Outage:  nod.follower.OutageAge,
+		Peers:   nod.exchanger.OtherVMs,
+		Apply:   nod.follower.ApplyPeerChanges,
+		Dial:    send.Dialer(targetAckTimeout),
+		Clock:   nod.cfg.Clock,
+		Log:     nod.cfg.Log,
+	})
+	if err != nil {
+		return err
+	}
+	nod.cleanups = append(nod.cleanups, stop)
+	return nil
+}
+
 func (nod *Node) recordReports(reports []cast.Report) {
 	now := nod.cfg.Clock.Now()
 	for _, rpt := range reports {
--- a/internal/fleet/view/follow.go
+++ b/internal/fleet/view/follow.go
@@ -59,8 +59,11 @@
 	listed       bool
 	listPatience time.Duration // of the next listing
 	retryPause   time.Duration
-	// early passes on changes that arrive before the call that reads them has ended.
+	// early passes on changes that arrive before the call that reads them has ended, peer those that other VMs have reported.
 	early chan []cardamompass.Change
+	peer  chan []cardamompass.Change
+	// outageSince is the time of the first failure of the present outage, in nanoseconds since the Unix epoch; 0 if there is none.
+	outageSince atomic.Int64
 }
 
 // New starts to follow the store and returns the function that stops it.
@@ -73,6 +76,7 @@
 		listPatience: listPatienceMin,
 		retryPause:   retryMin,
 		early:        make(chan []cardamompass.Change),
+		peer:         make(chan []cardamompass.Change),
 	}
 	flw.current.Store(Empty())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -98,6 +102,24 @@
 	return flw.cfg.Clock.Now().Sub(time.Unix(0, flw.lastResponse.Load()))
 }
 
+// OutageAge returns how long the store has not answered; 0 if it answers.
+func (flw *Follower) OutageAge() (age time.Duration) {
+	since := flw.outageSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return flw.cfg.Clock.Now().Sub(time.Unix(0, since))
+}
+
+// ApplyPeerChanges applies changes that another VM has reported. The view stays at its revision, and a routing table that is not newer
+// changes nothing. It returns without effect when ctx ends before.
+func (flw *Follower) ApplyPeerChanges(ctx context.Context, chs []cardamompass.Change) {
+	select {
+	case flw.peer <- chs:
+	case <-ctx.Done():
+	}
+}
+
 type fetchResult struct {
 	chs      []cardamompass.Change
 	revision int64
@@ -123,6 +145,10 @@
 			tmr.Stop()
 			return fre
 		case chs := <-flw.early:
+			tmr.Stop()
+			flw.lastResponse.Store(flw.cfg.Clock.Now().UnixNano())
+			flw.applyEarly(chs)
+		case chs := <-flw.peer:
 			tmr.Stop()
 			flw.applyEarly(chs)
 		case <-tmr.C():
@@ -134,10 +160,8 @@
 // applyEarly applies changes before the call that reads them has ended. The view stays at its revision, from which a call that fails is
 // repeated.
 func (flw *Follower) applyEarly(chs []cardamompass.Change) {
-	now := flw.cfg.Clock.Now()
-	flw.lastResponse.Store(now.UnixNano())
 	flw.logChanges(chs)
-	flw.publish(flw.View().WithChanges(chs, flw.View().Revision, flw.outage, now))
+	flw.publish(flw.View().WithChanges(chs, flw.View().Revision, flw.outage, flw.cfg.Clock.Now()))
 }
 
 func (flw *Follower) purge() {
@@ -216,6 +240,7 @@
 	now = flw.cfg.Clock.Now()
 	flw.lastResponse.Store(now.UnixNano())
 	flw.retryPause = retryMin
+	flw.outageSince.Store(0)
 	if flw.outage.Ongoing {
 		flw.outage = Outage{
 			Ended: now,
@@ -233,6 +258,7 @@
 		flw.cfg.Log.Info("store still lost", zap.Error(err), zap.Duration("age", flw.StoreAge()))
 	} else {
 		flw.cfg.Log.Warn("store lost", zap.Error(err), zap.Duration("age", flw.StoreAge()))
+		flw.outageSince.Store(flw.cfg.Clock.Now().UnixNano())
 	}
 	flw.outage.Ongoing = true
 	_ = cardamompass.Sleep(ctx, flw.cfg.Clock, flw.retryPause) // run notices the end of ctx
