cardamompass, platform: teams and public routes in the routing table

Cause: deployments in which demand exceeds capacity tell customers apart by keys; the configuration has tenants and public routes.

WithIndex adds an index of routes by host and prefix, and of teams by a salted hash of the key, so that neither a log nor a dump of a table shows keys. Tables without an index are searched as before. SetRequestHeaders sets Tenant and removes Credential when the deployment has teams; without teams it changes neither. place.Query has the team, whose home regions apply beside those of the route.

--- a/internal/edge/send/send.go
+++ b/internal/edge/send/send.go
@@ -97,7 +97,9 @@
 	URI  string
 	Host string
 	// Header holds the caller's end-to-end headers. It is not modified.
-	Header  http.Header
+	Header http.Header
+	// Team is passed to Protocol.SetRequestHeaders: nil if the deployment has no teams, and without a name if the request has none.
+	Team    *cardamompass.Team
 	Body    []byte
 	HasBody bool
 	// Buffer holds the memory of Body. Optional.
@@ -304,7 +306,7 @@
 	for name, values := range msg.Header {
 		hdr[name] = values
 	}
-	snd.cfg.Protocol.SetRequestHeaders(hdr, ins.ID, left)
+	snd.cfg.Protocol.SetRequestHeaders(hdr, ins.ID, msg.Team, left)
 	if msg.HasBody {
 		hdr["Content-Length"] = []string{strconv.Itoa(len(msg.Body))}
 	}
--- a/internal/steer/place/choose.go
+++ b/internal/steer/place/choose.go
@@ -47,8 +47,9 @@
 	Service cardamompass.ServiceName
 	// AffinityHash is the result of the function AffinityHash.
 	AffinityHash uint64
-	// Route gives the regions that may serve the request.
+	// Route and Team give the regions that may serve the request. Team is nil for a request without a team.
 	Route *cardamompass.Route
+	Team  *cardamompass.Team
 	// Tried are the instances to which the request has already been sent.
 	Tried []cardamompass.InstanceID
 	// MaxLoad is the load relative to the slots at which an instance counts as full for this request.
@@ -287,7 +288,7 @@
 		rej.Leaving++
 	case bal.vew.Evacuated(ins.FailureDomain):
 		rej.Evacuated++
-	case !qry.Route.AllowsRegion(ins.Region):
+	case !qry.Route.AllowsRegion(ins.Region) || !qry.Team.AllowsRegion(ins.Region):
 		rej.Away++
 	case slices.Contains(qry.Tried, ins.ID):
 		rej.Tried++
--- a/internal/steer/place/place_test.go
+++ b/internal/steer/place/place_test.go
@@ -143,6 +143,11 @@
 				HomeRegions: []cardamompass.Region{"b"},
 			}
 		}, func(rej place.Rejected) int { return rej.Away }},
+		{"not at the team's home", nil, func(qry *place.Query) {
+			qry.Team = &cardamompass.Team{
+				HomeRegions: []cardamompass.Region{"b"},
+			}
+		}, func(rej place.Rejected) int { return rej.Away }},
 	}
 	for _, tst := range tests {
 		t.Run(tst.name, func(t *testing.T) {
--- a/protocol.go
+++ b/protocol.go
@@ -15,6 +15,8 @@
 	// AffinityKey identifies the object that the request refers to; empty if not specified. A target serves requests faster
 	// for objects that it has handled before.
 	AffinityKey string
+	// Key is the key of the caller's team; empty if not specified. It must not appear in logs, dumps, metrics or errors.
+	Key string
 }
 
 // ResponseInfo is the information in the status and headers of a target's response.
@@ -52,8 +54,9 @@
 	// ParseRequest reads the headers of a caller's request.
 	ParseRequest(hdr http.Header) (inf RequestInfo)
 	// SetRequestHeaders sets the headers of a request to instance ins, which has the time left to respond. hdr holds the
-	// headers that the caller sent.
-	SetRequestHeaders(hdr http.Header, ins InstanceID, left time.Duration)
+	// headers that the caller sent. team is nil if the deployment has no teams, and a Team without a name if the request has no team.
+	// Unless it is nil, the target learns the name of the team from the VM alone, and doesn't get the key.
+	SetRequestHeaders(hdr http.Header, ins InstanceID, team *Team, left time.Duration)
 	// ParseResponse reads the status and headers of a target's response.
 	ParseResponse(status int, hdr http.Header) (inf ResponseInfo)
 	// ReadyPath returns the path of the readiness check, LookupPath that of look-ups.
--- a/routing.go
+++ b/routing.go
@@ -1,6 +1,7 @@
 package cardamompass
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -8,7 +9,7 @@
 // InstanceID identifies an instance, which is one start of a target.
 type InstanceID string
 
-// RoutingTable is one version of the operators' configuration of routes and services. It is immutable.
+// RoutingTable is one version of the operators' configuration of routes, services and teams. It is immutable.
 type RoutingTable struct {
 	// Version orders the tables; a newer table has a greater version.
 	Version uint64
@@ -18,6 +19,10 @@
 	Services map[ServiceName]ServicePolicy
 	// Limits bounds what callers may send.
 	Limits CallerLimits
+	// Teams maps the names of all teams to them; empty if the deployment has no teams, and callers need no keys.
+	Teams map[TeamName]*Team
+
+	index *tableIndex // nil unless the table is the result of WithIndex
 }
 
 // Route configures how requests for one host and path prefix are served.
@@ -44,6 +49,8 @@
 	Sticky bool
 	// HomeRegions are the regions that may serve the route; empty if all may.
 	HomeRegions []Region
+	// Public is set when requests need no key. They then have no team, whatever key they carry.
+	Public bool
 }
 
 // WeightedService is a service of a route with its share of the requests.
@@ -72,6 +79,9 @@
 
 // Match returns the route with the longest prefix that matches host and path. The host must be in lower case.
 func (tbl *RoutingTable) Match(host, path string) (rte *Route, ok bool) {
+	if tbl.index != nil {
+		return tbl.index.match(host, path)
+	}
 	for num := range tbl.Routes {
 		cnd := &tbl.Routes[num]
 		if cnd.Host != host || !strings.HasPrefix(path, cnd.Prefix) {
@@ -84,17 +94,63 @@
 	return rte, rte != nil
 }
 
-// AllowsRegion reports whether the route may be served in region reg.
-func (rte *Route) AllowsRegion(reg Region) bool {
-	if len(rte.HomeRegions) == 0 {
-		return true
+// HasTeams reports whether the deployment has teams, so that requests for routes that aren't public need a key. tbl may be
+// nil.
+func (tbl *RoutingTable) HasTeams() (ok bool) { return tbl != nil && len(tbl.Teams) > 0 }
+
+// TeamOf returns the team that has a key. Only a table that WithIndex returned knows keys. The empty key belongs to no team.
+func (tbl *RoutingTable) TeamOf(key string) (tea *Team, ok bool) {
+	if tbl.index == nil || key == "" {
+		return nil, false
+	}
+	tea, ok = tbl.index.teams[hashKey(key)]
+	return tea, ok
+}
+
+// HigherPriorities returns the number of different priorities of routes and teams that are higher than pri.
+func (tbl *RoutingTable) HigherPriorities(pri int) (count int) {
+	priorities := tbl.priorities()
+	count, _ = slices.BinarySearch(priorities, pri)
+	return count
+}
+
+// priorities returns the different priorities of routes and teams in ascending order.
+func (tbl *RoutingTable) priorities() (list []int) {
+	if tbl.index != nil {
+		return tbl.index.priorities
 	}
-	for _, hom := range rte.HomeRegions {
-		if hom == reg {
-			return true
+	return sortedPriorities(tbl)
+}
+
+// HomeRegions returns the regions to which routes of a host, given in lower case, are restricted, in no particular order. It is empty if
+// no route of the host is.
+func (tbl *RoutingTable) HomeRegions(host string) (regions []Region) {
+	for num := range tbl.Routes {
+		rte := &tbl.Routes[num]
+		if rte.Host != host {
+			continue
+		}
+		for _, hom := range rte.HomeRegions {
+			if !slices.Contains(regions, hom) {
+				regions = append(regions, hom)
+			}
 		}
 	}
-	return false
+	return regions
+}
+
+// AllowsRegion reports whether the route may be served in region reg.
+func (rte *Route) AllowsRegion(reg Region) (ok bool) { return allowsRegion(rte.HomeRegions, reg) }
+
+// AllowsTeam reports whether any region may serve the route for a team; tea is nil for a request without a team.
+func (rte *Route) AllowsTeam(tea *Team) (ok bool) {
+	return tea == nil || len(tea.HomeRegions) == 0 || len(rte.HomeRegions) == 0 ||
+		slices.ContainsFunc(tea.HomeRegions, rte.AllowsRegion)
+}
+
+// allowsRegion reports whether region reg is one of the home regions homes; all are if there are none.
+func allowsRegion(homes []Region, reg Region) (ok bool) {
+	return len(homes) == 0 || slices.Contains(homes, reg)
 }
 
 // Instance is one start of a target, as the target registered it.
--- a/team.go
+++ b/team.go
@@ -18,3 +18,9 @@
 
 // Limited reports whether the team has a quota.
 func (tea *Team) Limited() (ok bool) { return tea.Rate > 0 || tea.Burst > 0 }
+
+// AllowsRegion reports whether the team may be served in region reg. A request without a team, for which tea is nil, may be served in
+// all.
+func (tea *Team) AllowsRegion(reg Region) (ok bool) {
+	return tea == nil || allowsRegion(tea.HomeRegions, reg)
+}
