front: requests need the key of a team where the routing table has teams

Cause: callers of deployments with teams are told apart by keys, and a key that is revoked must not reach targets any more.

Change: with teams, a request without a route gets 404, one without a known key 401 and one that no region may serve 403, before its body is read. The check is repeated with the newest table after the body and directly before each send. A 401 before a resend is sent only if the request has not run; otherwise it ends as if no retry were possible. The team's priority replaces that of the route in the load limit, which counts the priorities with the index of the table, and the team's home regions apply to targets, retries and hedges. Lines of a request carry the team; denials have a line, a cause in explain and the counter denied by one of four reasons. Once a table with teams has applied to a request, its key is never forwarded.

net/http discards an unread body before it sends a response: a caller that announced a body and did not send it got no 401 within 2 s (TestKeyAndBody). The discard now ends after 100 ms, and the connection is closed if the body has not arrived by then.

--- a/internal/edge/front/dispatch.go
+++ b/internal/edge/front/dispatch.go
@@ -96,8 +96,11 @@
 			if len(inFlight) > 0 {
 				continue
 			}
-			if !dsp.mayRetry(ctx) || launch(false) != nil {
-				return dsp.finalResult(atm)
+			if !dsp.mayRetry(ctx) {
+				return dsp.finalResult(atm, nil)
+			}
+			if err = launch(false); err != nil {
+				return dsp.finalResult(atm, err)
 			}
 		case <-hedge.C():
 			if dsp.mayHedge() {
@@ -113,8 +116,12 @@
 }
 
 // finalResult returns the result when no further attempt is made: an error response of a target if there is one, else the error of
-// the last attempt.
-func (dsp *dispatch) finalResult(atm *attempt) (rep send.Reply, err error) {
+// the last attempt. launchErr is the error of the attempt that did not start; a denial is the result if the request has not run.
+func (dsp *dispatch) finalResult(atm *attempt, launchErr error) (rep send.Reply, err error) {
+	var den *deniedError
+	if !dsp.mayHaveRun && errors.As(launchErr, &den) {
+		return rep, den
+	}
 	if dsp.fallback != nil {
 		return *dsp.fallback, nil
 	}
@@ -127,14 +134,18 @@
 	if callerDisconnected(dsp.exc.req.Context()) {
 		return nil, errCallerDisconnected
 	}
+	if err = dsp.exc.checkAgain(); err != nil {
+		return nil, err
+	}
 	frt := dsp.exc.frt
 	now := frt.cfg.Clock.Now()
 	chc, ok := frt.cfg.Balancer.Choose(place.Query{
 		Service:      dsp.exc.service,
 		AffinityHash: dsp.affinityHash,
 		Route:        dsp.exc.route,
+		Team:         dsp.exc.team,
 		Tried:        dsp.tried,
-		MaxLoad:      maxLoad(dsp.exc.vew.Table, dsp.exc.route),
+		MaxLoad:      maxLoad(dsp.exc.vew.Table, dsp.exc.priority()),
 		Hedge:        hedge,
 		Now:          now,
 	})
@@ -159,9 +170,11 @@
 	dsp.exc.log.Info("request sent", zap.Bool("second", hedge), zap.String("target", string(chc.Instance.ID)), zap.Int("rank", chc.Rank),
 		zap.Float64("expected", chc.Expected), zap.Float64("load", chc.Load), zap.Duration("load-age", chc.LoadAge),
 		zap.Bool("warm", chc.Warm), zap.Bool("cold", chc.Cold), zap.Inline(chc.Rejected))
+	msg := dsp.msg
+	msg.Team = dsp.exc.targetTeam()
 	go func() {
 		defer cancel()
-		atm.rep, atm.err = frt.cfg.Sender.Do(sctx, chc.Instance, dsp.msg)
+		atm.rep, atm.err = frt.cfg.Sender.Do(sctx, chc.Instance, msg)
 		frt.reportAttempt(dsp.affinityHash, atm)
 		select {
 		case dsp.results <- atm:
--- a/internal/edge/front/export_test.go
+++ b/internal/edge/front/export_test.go
@@ -1,6 +1,10 @@
 package front
 
-import "net/http"
+import (
+	"net/http"
+
+	"cardamompass"
+)
 
 // Fingerprint returns the fingerprint of a request with the given body.
 func (frt *Front) Fingerprint(req *http.Request, body []byte) (text string) {
@@ -11,3 +15,8 @@
 
 // WaitCrashChecks waits until all checks of broken connections have ended.
 func (frt *Front) WaitCrashChecks() { frt.crashChecks.Wait() }
+
+// MaxLoad returns the load at which a target counts as full for requests of a priority.
+func MaxLoad(tbl *cardamompass.RoutingTable, priority int) (limit float64) {
+	return maxLoad(tbl, priority)
+}
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -124,7 +124,7 @@
 		body:  frt.cfg.Bodies.NewBuffer(),
 	}
 	defer exc.body.Release()
-	exc.log = frt.cfg.Log.With(zap.String("request", string(exc.inf.ID)))
+	exc.log = frt.requestLog(exc.inf.ID)
 	exc.serve()
 }
 
@@ -137,8 +137,11 @@
 	vew     *view.View
 	route   *cardamompass.Route
 	service cardamompass.ServiceName
-	start   time.Time
-	log     *zap.Logger
+	// team is nil if the request has no team. hasTeams is set once a table with teams has applied to the request.
+	team     *cardamompass.Team
+	hasTeams bool
+	start    time.Time
+	log      *zap.Logger
 	// body holds the memory of the request's body, received is when the body was complete.
 	body     *buffer.Buffer
 	received time.Time
@@ -155,19 +158,19 @@
 		exc.refuse("the VM stops")
 		return
 	}
+	// Without teams, a request without a route is answered after its body has been read.
+	if exc.vew.Table.HasTeams() && !exc.admit() {
+		return
+	}
 	body, err := exc.readBody()
 	if err != nil {
 		return // readBody has responded, or the caller has disconnected
 	}
 	exc.vew = exc.frt.cfg.View() // reading the body may have taken seconds
-	ok := false
-	exc.route, ok = exc.vew.Table.Match(hostName(exc.req.Host), exc.req.URL.EscapedPath())
-	if !ok {
-		exc.log.Info("request without route", zap.String("host", exc.req.Host), zap.String("path", exc.req.URL.Path),
-			zap.Uint64("table", exc.vew.Table.Version))
-		exc.writeError(http.StatusNotFound, "no route")
+	if !exc.admit() {
 		return
 	}
+	// The check of the quota of exc.team belongs here: the request is admitted, its body is complete and nothing is counted yet.
 	exc.service = exc.frt.nextService(exc.route)
 	exc.frt.retryBudget(exc.service).Request(exc.start)
 	exc.forward(body)
@@ -234,8 +237,12 @@
 // writeFailure responds to a request that got no response from a target. The status claims no more than is certain.
 func (exc *exchange) writeFailure(dsp *dispatch, err error) {
 	var fai *send.Failure
+	var den *deniedError
 	isFailure := errors.As(err, &fai)
 	switch {
+	case errors.As(err, &den): // only if the request has not run
+		exc.writeDenied(den)
+		exc.finish("denied", den.status, dsp, err)
 	case !dsp.mayHaveRun:
 		exc.writeUnavailable("the request has not run", dsp.retryAfter(err))
 		exc.finish("refused", http.StatusServiceUnavailable, dsp, err)
@@ -304,7 +311,7 @@
 // finish logs the end of a request and updates the metrics.
 func (exc *exchange) finish(outcome string, status int, dsp *dispatch, err error) {
 	ela := exc.frt.cfg.Clock.Now().Sub(exc.start)
-	exc.frt.met.observeRequest(exc.route, exc.service, outcome, ela)
+	exc.frt.met.observeRequest(exc.route, exc.priority(), exc.service, outcome, ela)
 	fields := []zap.Field{
 		zap.String("route", exc.route.Name), zap.String("service", string(exc.service)), zap.String("object", exc.inf.AffinityKey),
 		zap.String("outcome", outcome), zap.Int("status", status), zap.Duration("took", ela),
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,13 +12,12 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"cardamompass"
 	"cardamompass/internal/edge/buffer"
 	"cardamompass/internal/edge/front"
 	"cardamompass/internal/edge/send"
 	"cardamompass/internal/fleet/view"
+	"cardamompass/internal/obs/logkv"
 	"cardamompass/internal/obs/metric"
 	"cardamompass/internal/stand/ptarg"
 	"cardamompass/internal/steer/place"
@@ -36,6 +36,28 @@
 	balancer *place.Balancer
 	bodies   *buffer.Pool
 	crashes  []cardamompass.Crash
+	// onDial is called before each connection to a target is opened. Optional.
+	onDial  func()
+	logs    logBuffer
+	metrics *metric.Metrics
+}
+
+// logBuffer holds the lines of a log. It is safe for concurrent use.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (buf *logBuffer) Write(line []byte) (num int, err error) {
+	buf.mu.Lock()
+	defer buf.mu.Unlock()
+	return buf.text.Write(line)
+}
+
+func (buf *logBuffer) String() (text string) {
+	buf.mu.Lock()
+	defer buf.mu.Unlock()
+	return buf.text.String()
 }
 
 const (
@@ -88,19 +110,28 @@
 		balancer: place.New(place.Config{Self: "vm-1", Region: "r"}),
 		bodies:   buffer.New(buffer.Config{Limit: bodyMemory}),
 	}
+	lgr, _, err := logkv.New(logkv.Config{
+		Writer:           &fxt.logs,
+		RepeatsPerSecond: 1 << 30,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
 	snd, stopSender := send.New(send.Config{
 		Protocol: platform.Protocol{},
 		Clock:    cardamompass.SystemClock{},
-		Dial:     send.Dialer(time.Second),
+		Dial:     fxt.dialTarget,
+		Log:      lgr.Logger,
 	})
 	mtr, stopMetrics := metric.New(metric.Config{})
+	fxt.metrics = mtr
 	frt, stopFront := front.New(front.Config{
 		Settings: func() cardamompass.VMSettings {
 			return cardamompass.VMSettings{RetryBudgetPercent: 20, RetryBudgetSlack: 56, RetryBudgetWindow: 10 * time.Second}
 		},
 		Protocol: platform.Protocol{},
 		Clock:    cardamompass.SystemClock{},
-		Log:      zap.NewNop(),
+		Log:      lgr.Logger,
 		Scope:    mtr.Scope(),
 		Balancer: fxt.balancer,
 		Sender:   snd,
@@ -147,6 +178,13 @@
 	return fxt
 }
 
+func (fxt *fixture) dialTarget(ctx context.Context, network, address string) (con net.Conn, err error) {
+	if fxt.onDial != nil {
+		fxt.onDial()
+	}
+	return send.Dialer(time.Second)(ctx, network, address)
+}
+
 func (fxt *fixture) view() (vew *view.View) {
 	fxt.mu.Lock()
 	defer fxt.mu.Unlock()
--- a/internal/edge/front/metric.go
+++ b/internal/edge/front/metric.go
@@ -29,10 +29,12 @@
 	}
 }
 
-func (met metrics) observeRequest(rte *cardamompass.Route, svc cardamompass.ServiceName, outcome string, ela time.Duration) {
+func (met metrics) observeRequest(
+	rte *cardamompass.Route, priority int, svc cardamompass.ServiceName, outcome string, ela time.Duration,
+) {
 	scp := met.scope.Tagged(map[string]string{
 		"service":    string(svc),
-		"priority":   strconv.Itoa(rte.Priority),
+		"priority":   strconv.Itoa(priority),
 		"idempotent": strconv.FormatBool(rte.Idempotent),
 		"outcome":    outcome,
 	})
@@ -46,4 +48,10 @@
 	}).Counter("attempts").Inc(1)
 }
 
+func (met metrics) observeDenied(reason string) {
+	met.scope.Tagged(map[string]string{
+		"reason": reason,
+	}).Counter("denied").Inc(1)
+}
+
 func formatWeight(weight float64) (text string) { return strconv.FormatFloat(weight, 'g', -1, 64) }
--- a/internal/edge/front/policy.go
+++ b/internal/edge/front/policy.go
@@ -153,14 +153,8 @@
 	return svc
 }
 
-// maxLoad returns the load relative to the slots at which a target counts as full for requests of a route. It is lower for routes
-// of lower priority, so that these are refused first.
-func maxLoad(tbl *cardamompass.RoutingTable, rte *cardamompass.Route) (limit float64) {
-	higher := make(map[int]bool)
-	for num := range tbl.Routes {
-		if pri := tbl.Routes[num].Priority; pri < rte.Priority {
-			higher[pri] = true
-		}
-	}
-	return max(lowestMaxLoad, highestMaxLoad-maxLoadStep*float64(len(higher)))
+// maxLoad returns the load relative to the slots at which a target counts as full for requests of a priority. It is lower for lower
+// priorities of routes and teams, so that these are refused first.
+func maxLoad(tbl *cardamompass.RoutingTable, priority int) (limit float64) {
+	return max(lowestMaxLoad, highestMaxLoad-maxLoadStep*float64(tbl.HigherPriorities(priority)))
 }
--- a/internal/fleet/view/follow.go
+++ b/internal/fleet/view/follow.go
@@ -244,7 +244,7 @@
 	flw.current.Store(next)
 	if next.Table != old.Table {
 		flw.cfg.Log.Info("routing table in force", zap.Uint64("version", next.Table.Version),
-			zap.Int("routes", len(next.Table.Routes)), zap.Int64("revision", next.Revision))
+			zap.Int("routes", len(next.Table.Routes)), zap.Int("teams", len(next.Table.Teams)), zap.Int64("revision", next.Revision))
 	}
 	flw.cfg.OnChange(old, next)
 }
--- a/internal/obs/trace/trace.go
+++ b/internal/obs/trace/trace.go
@@ -153,6 +153,8 @@
 		return "failed: " + last.Get("error")
 	case "request caller-left":
 		return "the caller closed its connection after " + last.Get("took")
+	case "request denied":
+		return "denied with status " + last.Get("status") + ", and it has not run: " + last.Get("error")
 	case "request without route":
 		return "routing table " + last.Get("table") + " has no route for " + last.Get("host") + last.Get("path")
 	default:
--- a/internal/stand/ptarg/ptarg.go
+++ b/internal/stand/ptarg/ptarg.go
@@ -87,7 +87,9 @@
 // Run is one request that a target started to run.
 type Run struct {
 	ID, Method, Path, Body, Timeout string
-	At                              time.Time
+	// Header holds all headers of the request.
+	Header http.Header
+	At     time.Time
 }
 
 // Target is a simulated target. It is safe for concurrent use.
@@ -326,6 +328,7 @@
 		Path:    req.RequestURI,
 		Body:    string(body),
 		Timeout: req.Header.Get("Timeout-Ms"),
+		Header:  req.Header.Clone(),
 		At:      time.Now(),
 	})
 }
