direct: look-ups of a region without VMs prefer the home regions of the host

Cause: when a region has lost its VMs, its callers got VMs of all regions, also far from the only targets that may serve them.

Change: VMs in the home regions of the host's routes are returned if there are any, else all as before; only for tables with teams, so that other deployments are served as before. Measured: TestHomeRegionsOfHost.

--- a/internal/edge/direct/direct.go
+++ b/internal/edge/direct/direct.go
@@ -2,7 +2,7 @@
 //
 // It returns running VMs of the caller's region, those of its failure domain first, because traffic between failure domains and
 // between regions is priced and a route may be restricted to regions. VMs of other regions are returned only while the caller's
-// region has none.
+// region has none, and then those of the home regions of the routes of the host if there are any.
 //
 // Callers choose one of the returned VMs at random, so that each gets the same part of the requests regardless of its capacity. A
 // VM with much less capacity than the others of its region is therefore returned only if it does not reduce the total capacity of
@@ -13,6 +13,7 @@
 	"cmp"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -38,6 +39,8 @@
 	OtherVMs func() []cardamompass.VM
 	// Stopping reports whether this VM is stopping; it then leaves itself out of responses.
 	Stopping func() bool
+	// HomeRegions returns the regions to which routes of a host, given in lower case, are restricted. Optional.
+	HomeRegions func(host string) []cardamompass.Region
 	// MaxTTL returns the longest time for which a caller may use a response; 0 if there is no limit. Optional.
 	MaxTTL func() time.Duration
 	Log    *zap.Logger
@@ -51,6 +54,9 @@
 	if cfg.MaxTTL == nil {
 		cfg.MaxTTL = func() time.Duration { return 0 }
 	}
+	if cfg.HomeRegions == nil {
+		cfg.HomeRegions = func(string) []cardamompass.Region { return nil }
+	}
 	return &Handler{
 		cfg: cfg,
 	}
@@ -63,7 +69,7 @@
 	if limit := hnd.cfg.MaxTTL(); limit > 0 {
 		ttl = min(ttl, limit)
 	}
-	addresses := Addresses(hnd.running(), lkp)
+	addresses := Addresses(hnd.running(), lkp, hnd.cfg.HomeRegions)
 	body, err := hnd.cfg.Protocol.EncodeLookupResponse(addresses, ttl)
 	if err != nil || len(addresses) == 0 {
 		hnd.cfg.Log.Warn("look-up refused", zap.Error(err), zap.Int("addresses", len(addresses)))
@@ -85,9 +91,15 @@
 	return vms
 }
 
-// Addresses returns the addresses of the VMs to which the caller of a look-up should connect, the nearest first.
-func Addresses(vms []cardamompass.VM, lkp cardamompass.Lookup) (addresses []string) {
-	near := slices.DeleteFunc(slices.Clone(vms), func(vmc cardamompass.VM) bool { return vmc.Region != lkp.Region })
+// Addresses returns the addresses of the VMs to which the caller of a look-up should connect, the nearest first. homes is called while the
+// caller's region has no VM and returns the regions to which routes of the host are restricted.
+func Addresses(
+	vms []cardamompass.VM, lkp cardamompass.Lookup, homes func(host string) []cardamompass.Region,
+) (addresses []string) {
+	near := inRegions(vms, []cardamompass.Region{lkp.Region})
+	if len(near) == 0 {
+		near = inRegions(vms, homes(strings.ToLower(lkp.Name)))
+	}
 	if len(near) == 0 {
 		near = slices.Clone(vms)
 	}
@@ -101,6 +113,11 @@
 	return addresses
 }
 
+// inRegions returns the VMs of the given regions.
+func inRegions(vms []cardamompass.VM, regions []cardamompass.Region) (selected []cardamompass.VM) {
+	return slices.DeleteFunc(slices.Clone(vms), func(vmc cardamompass.VM) bool { return !slices.Contains(regions, vmc.Region) })
+}
+
 // maxTotalCapacity returns the VMs that together have the greatest capacity when each gets the same part of the requests, which is
 // their number times the smallest of their capacities. It returns all VMs if the capacity of any is unknown.
 func maxTotalCapacity(vms []cardamompass.VM) (selected []cardamompass.VM) {
--- a/internal/edge/direct/direct_test.go
+++ b/internal/edge/direct/direct_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"reflect"
@@ -92,10 +93,32 @@
 				vmc.Capacity = perSecond
 				vms = append(vms, vmc)
 			}
-			got := direct.Addresses(vms, cardamompass.Lookup{Region: "gulf"})
+			got := direct.Addresses(vms, cardamompass.Lookup{Region: "gulf"}, nil)
 			if len(got) != tst.want {
 				t.Fatalf("%d addresses: %v, want %d", len(got), got, tst.want)
 			}
 		})
 	}
 }
+
+// Guards against look-ups of a region without a VM that name VMs far from the targets of the host.
+func TestHomeRegionsOfHost(t *testing.T) {
+	vms := []cardamompass.VM{vm("a", "gulf", "g-1"), vm("b", "delta", "d-1"), vm("c", "delta", "d-2")}
+	homes := func(host string) []cardamompass.Region {
+		return map[string][]cardamompass.Region{"home.example": {"delta"}, "gone.example": {"coast"}}[host]
+	}
+	for _, tst := range []struct {
+		name   string
+		region cardamompass.Region
+		want   string
+	}{
+		{"Home.example", "gulf", "[a:1]"},
+		{"Home.example", "coast", "[b:1 c:1]"},
+		{"gone.example", "hills", "[a:1 b:1 c:1]"},
+		{"other.example", "coast", "[a:1 b:1 c:1]"},
+	} {
+		if got := fmt.Sprint(direct.Addresses(vms, cardamompass.Lookup{Name: tst.name, Region: tst.region}, homes)); got != tst.want {
+			t.Errorf("%s from %s: %s, want %s", tst.name, tst.region, got, tst.want)
+		}
+	}
+}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -296,8 +296,14 @@
 		Protocol: nod.cfg.Protocol,
 		OtherVMs: nod.exchanger.OtherVMs,
 		Stopping: nod.stopping.Load,
-		MaxTTL:   func() time.Duration { return nod.Settings().MaxLookupTTL },
-		Log:      nod.cfg.Log,
+		HomeRegions: func(host string) []cardamompass.Region {
+			if tbl := nod.follower.View().Table; tbl.HasTeams() {
+				return tbl.HomeRegions(host)
+			}
+			return nil
+		},
+		MaxTTL: func() time.Duration { return nod.Settings().MaxLookupTTL },
+		Log:    nod.cfg.Log,
 	})
 	lookupRoutes, readyRoutes, metricRoutes := mux.NewRouter(), mux.NewRouter(), mux.NewRouter()
 	lookupRoutes.Handle(nod.cfg.Protocol.LookupPath(), lookups).Methods(http.MethodGet)
