pfleet, users: teams with real processes

Cause: nothing showed that a revoked key stops within its bound on all VMs and on kept connections.

Change: the fleet writes teams and public routes, and callers carry a key.

--- a/internal/stand/pfleet/caller.go
+++ b/internal/stand/pfleet/caller.go
@@ -39,9 +39,9 @@
 type Callers struct {
 	flt    *Fleet
 	client *http.Client
-	next   atomic.Int64
 
 	mu      sync.Mutex
+	key     string // of the callers' team; empty if they send none
 	results []Result
 	vms     []string // addresses from the last successful look-up
 }
@@ -66,6 +66,13 @@
 	}, trn.CloseIdleConnections
 }
 
+// SetKey sets the key that later requests carry; empty for none.
+func (cls *Callers) SetKey(key string) {
+	cls.mu.Lock()
+	defer cls.mu.Unlock()
+	cls.key = key
+}
+
 // Lookup queries the VMs in random order until one returns addresses, and keeps these for the requests that follow.
 func (cls *Callers) Lookup(ctx context.Context) (addresses []string, err error) {
 	for _, num := range rand.Perm(len(cls.flt.VMs)) {
@@ -114,7 +121,7 @@
 
 // SendTo sends one request to an address.
 func (cls *Callers) SendTo(ctx context.Context, address, path string, idempotent bool) (res Result) {
-	id := fmt.Sprintf("c-%08d", cls.next.Add(1))
+	id := fmt.Sprintf("c-%08d", cls.flt.nextRequest.Add(1))
 	res = Result{
 		ID:         id,
 		Path:       path,
@@ -145,6 +152,11 @@
 	req.Host = Host
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Timeout-Ms", fmt.Sprint(callerTimeout.Milliseconds()))
+	cls.mu.Lock()
+	if cls.key != "" {
+		req.Header.Set("Credential", cls.key)
+	}
+	cls.mu.Unlock()
 	req.AddCookie(&http.Cookie{
 		Name:  "Affinity-Key",
 		Value: fmt.Sprint(rand.IntN(20)),
--- a/internal/stand/pfleet/pfleet.go
+++ b/internal/stand/pfleet/pfleet.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -94,6 +95,16 @@
 	IdleTimeout   time.Duration
 }
 
+// Team is a team of the operator's configuration.
+type Team struct {
+	Name     string
+	Keys     []string
+	Priority int
+	// RatePerS and Burst are the quota; there is none if both are 0.
+	RatePerS, Burst float64
+	HomeRegions     []string
+}
+
 // Fleet is a site of VMs and targets with their store.
 type Fleet struct {
 	Store   *pstore.Store
@@ -101,6 +112,12 @@
 	Targets []*Target
 	// Limits are the limits for callers that Configure writes.
 	Limits Limits
+	// Teams are the teams that Configure writes; Public are the prefixes of the routes that need no key.
+	Teams  []Team
+	Public []string
+
+	// nextRequest is the number of the last request of all Callers.
+	nextRequest atomic.Int64
 
 	cfg      Config
 	network  string // begin of the fleet's loopback addresses
@@ -195,7 +212,7 @@
 }
 
 // Configure writes the operator's configuration to the store: its version and the path prefixes of idempotent (reads) and
-// non-idempotent (writes) routes. Its limits are those of the Fleet.
+// non-idempotent (writes) routes. Its limits, teams and public routes are those of the Fleet.
 func (flt *Fleet) Configure(version int, reads, writes []string) {
 	routes := []map[string]any{}
 	for _, prefix := range slices.Concat(reads, writes) {
@@ -215,9 +232,10 @@
 			"attempts":       2,
 			"sticky":         true,
 			"homeRegions":    []string{},
+			"public":         slices.Contains(flt.Public, prefix),
 		})
 	}
-	flt.Store.Put("op/config", map[string]any{
+	config := map[string]any{
 		"version": fmt.Sprintf("%08x", version),
 		"routes":  routes,
 		"services": []map[string]any{{
@@ -234,7 +252,26 @@
 			"headerTimeoutS": flt.Limits.HeaderTimeout.Seconds(),
 			"idleTimeoutS":   flt.Limits.IdleTimeout.Seconds(),
 		},
-	})
+	}
+	if len(flt.Teams) > 0 {
+		config["tenants"] = flt.tenants()
+	}
+	flt.Store.Put("op/config", config)
+}
+
+// tenants returns the teams as the configuration has them.
+func (flt *Fleet) tenants() (list []map[string]any) {
+	for _, tea := range flt.Teams {
+		list = append(list, map[string]any{
+			"name":        tea.Name,
+			"apiKeys":     tea.Keys,
+			"priority":    tea.Priority,
+			"ratePerS":    tea.RatePerS,
+			"burst":       tea.Burst,
+			"homeRegions": tea.HomeRegions,
+		})
+	}
+	return list
 }
 
 // targetAddress returns the address on which targets and proxies listen, with a free port.
