--- a/internal/obs/trace/trace_test.go
+++ b/internal/obs/trace/trace_test.go
@@ -21,6 +21,7 @@
 time=2026-01-24T09:36:08.500Z level=info event="target backs off" process=vm-3 target=i-1 service=s for=2s
 time=2026-01-24T09:36:09.000Z level=warn event="request refused" process=vm-3 request=r-5 retry-after=2.3s error="no target of s can be used: {Backoff:1}"
 time=2026-01-24T09:36:09.000Z level=info event="request body not read" process=vm-3 request=r-6 error="i/o timeout" length=1000
+time=2026-01-24T09:36:09.000Z level=info event="request denied" process=vm-3 request=r-7 path=/a/ status=401 error="unknown key"
 `
 
 // Guards against a cause that does not match the lines, and against lines of another request or VM.
@@ -37,6 +38,7 @@
 		{"r-4", 1, 0, "no end in these logs"},
 		{"r-5", 1, 1, "no target of s can be used: {Backoff:1}; the caller was told to retry after 2.3s"},
 		{"r-6", 1, 1, "its body was not received, so that it has not run: i/o timeout"},
+		{"r-7", 1, 1, "denied with status 401, and it has not run: unknown key"},
 		{"r-10", 1, 1, "answered with 200"},
 		{"r-9", 0, 0, "no line names this request"},
 	}
