place: a hedge under a limit prefers another failure domain

A fault that delays the first attempt may be one of its failure domain, and the two preferred instances of an object may both be in that domain. For a query that describes its first attempt, all ranked instances that are lightly loaded are considered, first those of other domains.

--- a/internal/steer/place/choose.go
+++ b/internal/steer/place/choose.go
@@ -55,6 +55,9 @@
 	MaxLoad float64
 	// Hedge is set for a second attempt while the first is in flight. Only a lightly loaded preferred instance is chosen for it.
 	Hedge bool
+	// First describes the first attempt of a hedge, if the hedge is to avoid a fault that delays the first attempt. Any lightly loaded
+	// instance may then be chosen, preferably one of another failure domain.
+	First *FirstAttempt
 	Now   time.Time
 }
 
@@ -87,6 +90,8 @@
 	Backoff int
 	// Busy counts the fallback instances that were rejected because their mean load is too high.
 	Busy int
+	// SameDomain counts the instances in the failure domain of the first attempt that were rejected for a hedge.
+	SameDomain int
 }
 
 // MarshalLogObject implements zapcore.ObjectMarshaler. It omits reasons with a count of zero.
@@ -104,6 +109,7 @@
 		{"cold-full", rej.Cold},
 		{"full", rej.Full},
 		{"busy", rej.Busy},
+		{"same-domain", rej.SameDomain},
 	} {
 		if cnt.count > 0 {
 			enc.AddInt(cnt.reason, cnt.count)
@@ -128,7 +134,12 @@
 		chc.Wait = bal.backoffWait(qry)
 		return chc, false
 	}
-	best := bal.fastest(qry, ranked, &chc.Rejected)
+	var best int
+	if qry.Hedge && qry.First != nil {
+		best = bal.forHedge(qry, ranked, &chc.Rejected)
+	} else {
+		best = bal.fastest(qry, ranked, &chc.Rejected)
+	}
 	if best < 0 {
 		return chc, false
 	}
