front, entryvm: limited hedges with the setting hedge-limit-percent

With a limit above 0 the Front takes the delay from the latencies of the route and needs a token of the limit beside that of the retry budget. Without it, the delay and the decision are those of before, from the same code.

Results of hedges are counted, with the reasons against them, and the end line of a request states them for explain.

--- a/cmd/entryvm/serve.go
+++ b/cmd/entryvm/serve.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"bytes"
-	"fmt"
 	"math"
 	"os"
 	"os/signal"
@@ -13,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"cardamompass"
+	"cardamompass/internal/conf/steer"
 	"cardamompass/internal/edge/node"
 	"cardamompass/internal/edge/send"
 	"cardamompass/internal/obs/logkv"
@@ -27,8 +26,6 @@
 	// storeUserTimeout is the TCP user timeout of connections to the store, the longest time that sent data may stay
 	// unacknowledged.
 	storeUserTimeout = time.Second
-	// settingsInterval is the interval at which the settings file is checked for a change, since it may change without a signal.
-	settingsInterval = time.Second
 	// memoryFraction is the fraction of the memory limit that is set as the soft memory limit of the Go runtime, near which
 	// the garbage collector runs more often.
 	memoryFraction = 0.6
@@ -37,6 +34,7 @@
 // ServeCmd runs an entry VM.
 type ServeCmd struct {
 	Settings string `help:"Settings file; by default the one named in the environment."`
+	Steering string `help:"Steering file, JSON with comments; by default none, and all of its settings have their defaults." type:"path"`
 	LogLevel string `help:"Lowest level of log lines." default:"info" enum:"debug,info,warn,error"`
 }
 
@@ -47,6 +45,10 @@
 	if err != nil {
 		return err
 	}
+	steering, err := loadSteering(cmd.Steering)
+	if err != nil {
+		return err
+	}
 	debug.SetMemoryLimit(memoryLimit(set.MemoryBytes))
 	out, flush := logkv.NewAsync(os.Stdout)
 	defer flush()
@@ -64,22 +66,26 @@
 	defer stopMetrics()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	nod, cleanup, err := newNode(set, log, mtr, func() int64 { return log.Dropped() + out.Dropped() })
+	nod, cleanup, err := newNode(set, steering, log, mtr, func() int64 { return log.Dropped() + out.Dropped() })
 	if err != nil {
 		return err
 	}
 	defer cleanup()
 	log.Info("started", zap.String("failure-domain", string(set.FailureDomain)), zap.String("store", set.StoreAddress))
-	(&reloader{
-		path:  path,
-		log:   log.Logger,
-		apply: nod.SetBounds,
-	}).run(signals)
+	waitForStop(signals, log.Logger, watchedFiles(path, cmd.Steering, nod, log.Logger))
 	nod.Stop()
 	log.Info("stopped", zap.Int64("lines-dropped", log.Dropped()+out.Dropped()))
 	return nil
 }
 
+// loadSteering returns the settings of the steering file at path, or the defaults if path is empty.
+func loadSteering(path string) (set steer.Settings, err error) {
+	if path == "" {
+		return set, nil
+	}
+	return steer.Load(path)
+}
+
 func memoryLimit(limit int64) (size int64) {
 	if limit <= 0 {
 		return math.MaxInt64
@@ -88,7 +94,7 @@
 }
 
 func newNode(
-	set cardamompass.VMSettings, log *logkv.Logger, mtr *metric.Metrics, dropped func() int64,
+	set cardamompass.VMSettings, steering steer.Settings, log *logkv.Logger, mtr *metric.Metrics, dropped func() int64,
 ) (nod *node.Node, cleanup func(), err error) {
 	calls := mtr.Scope()
 	reg, closeRegistry := platform.NewRegistry(platform.RegistryConfig{
@@ -105,6 +111,7 @@
 	})
 	nod, stop, err := node.New(node.Config{
 		Settings:     set,
+		Steering:     steering,
 		Protocol:     platform.Protocol{},
 		Registry:     reg,
 		Clock:        cardamompass.SystemClock{},
@@ -122,61 +129,3 @@
 		closeRegistry()
 	}, nil
 }
-
-// reloader checks the settings file again on SIGHUP and when its content changes.
-type reloader struct {
-	path  string
-	log   *zap.Logger
-	apply func(set cardamompass.VMSettings)
-	last  []byte
-}
-
-// run returns when a signal requests a planned stop.
-func (rld *reloader) run(signals <-chan os.Signal) {
-	rld.last, _ = os.ReadFile(rld.path) // Run has just loaded it; if this read fails, the next check sees a change
-	tck := time.NewTicker(settingsInterval)
-	defer tck.Stop()
-	for {
-		select {
-		case sig := <-signals:
-			if sig != syscall.SIGHUP {
-				rld.log.Info("signal", zap.String("signal", sig.String()))
-				return
-			}
-			rld.reload(true)
-		case <-tck.C:
-			rld.reload(false)
-		}
-	}
-}
-
-// reload validates the file if it has changed or if requested is set, and applies it. The process keeps its settings if the file is not
-// valid.
-func (rld *reloader) reload(requested bool) {
-	data, err := os.ReadFile(rld.path)
-	if err != nil {
-		rld.log.Warn("settings kept", zap.Error(err))
-		return
-	}
-	if bytes.Equal(data, rld.last) && !requested {
-		return
-	}
-	rld.last = data
-	set, err := platform.ParseSettings(data)
-	if err != nil {
-		rld.log.Warn("settings kept", zap.Error(err))
-		return
-	}
-	rld.apply(set)
-	rld.log.Info("settings checked", zap.Bool("asked", requested))
-}
-
-// Run prints that the file is valid, or returns the error.
-func (cmd *CheckCmd) Run() (err error) {
-	set, err := platform.LoadSettings(cmd.File)
-	if err != nil {
-		return err
-	}
-	_, err = fmt.Printf("%s: valid; vm=%s region=%s failure-domain=%s\n", cmd.File, set.ID, set.Region, set.FailureDomain)
-	return err
-}
--- a/internal/edge/front/dispatch.go
+++ b/internal/edge/front/dispatch.go
@@ -11,6 +11,7 @@
 
 	"cardamompass"
 	"cardamompass/internal/edge/send"
+	"cardamompass/internal/steer/hedge"
 	"cardamompass/internal/steer/place"
 )
 
@@ -19,7 +20,7 @@
 	// address has another instance.
 	maxUnsentAttempts = 3
 	// minRetryTime is the least remaining time with which a request is retried or hedged.
-	minRetryTime = 50 * time.Millisecond
+	minRetryTime = hedge.MinTime
 )
 
 // dispatch sends one request to one target after the other, or to two at a time when the first is hedged.
@@ -37,6 +38,7 @@
 	fallback   *send.Reply // error response of a target, used when no better response comes
 	results    chan *attempt
 	ended      chan struct{} // closed when no more results are received
+	hedging    hedging
 }
 
 // noTargetError reports that no target can be used now.
@@ -67,12 +69,13 @@
 		for atm := range inFlight {
 			atm.cancel()
 		}
+		dsp.countHedge()
 		if dsp.fallback != nil && err != nil {
 			dsp.fallback.Release()
 		}
 	}()
-	launch := func(hedge bool) (err error) {
-		atm, err := dsp.launch(ctx, hedge)
+	launch := func(second bool) (err error) {
+		atm, err := dsp.launch(ctx, second)
 		if err == nil {
 			inFlight[atm] = true
 		}
@@ -81,8 +84,8 @@
 	if err = launch(false); err != nil {
 		return rep, err
 	}
-	hedge := dsp.exc.frt.cfg.Clock.NewTimer(dsp.hedgeDelay())
-	defer hedge.Stop()
+	tmr := dsp.exc.frt.cfg.Clock.NewTimer(dsp.hedgeDelay())
+	defer tmr.Stop()
 	for {
 		select {
 		case atm := <-dsp.results:
@@ -99,9 +102,9 @@
 			if !dsp.mayRetry(ctx) || launch(false) != nil {
 				return dsp.finalResult(atm)
 			}
-		case <-hedge.C():
+		case <-tmr.C():
 			if dsp.mayHedge() {
-				_ = launch(true) // if no second target can be used, the first attempt goes on alone
+				dsp.noteHedge(launch(true)) // if no second target can be used, the first attempt goes on alone
 			}
 		case <-ctx.Done():
 			return rep, &send.Failure{
@@ -123,7 +126,7 @@
 
 // launch chooses a target and starts an attempt. Retries and hedges are taken from the retry budget, but only once a target is
 // found, so that requests without a usable target don't use up the budget.
-func (dsp *dispatch) launch(ctx context.Context, hedge bool) (atm *attempt, err error) {
+func (dsp *dispatch) launch(ctx context.Context, second bool) (atm *attempt, err error) {
 	if callerDisconnected(dsp.exc.req.Context()) {
 		return nil, errCallerDisconnected
 	}
@@ -135,17 +138,18 @@
 		Route:        dsp.exc.route,
 		Tried:        dsp.tried,
 		MaxLoad:      maxLoad(dsp.exc.vew.Table, dsp.exc.route),
-		Hedge:        hedge,
+		Hedge:        second,
+		First:        dsp.firstAttempt(),
 		Now:          now,
 	})
 	if !ok {
+		dsp.noteNoTarget(second, now)
 		return nil, &noTargetError{
 			service: dsp.exc.service,
 			choice:  chc,
 		}
 	}
-	if (hedge || dsp.sent > 0) && !frt.retryBudget(dsp.exc.service).TakeExtra(now) {
-		dsp.exc.log.Info("repeat not allowed", zap.Bool("second", hedge), zap.String("reason", "budget"))
+	if (second || dsp.sent > 0) && !dsp.takeExtra(second, now) {
 		return nil, errors.New("retry budget exhausted")
 	}
 	frt.cfg.Balancer.RecordSent(chc.Instance.ID, now)
@@ -156,13 +160,15 @@
 		cancel: cancel,
 		start:  now,
 	}
-	dsp.exc.log.Info("request sent", zap.Bool("second", hedge), zap.String("target", string(chc.Instance.ID)), zap.Int("rank", chc.Rank),
+	dsp.noteSent(atm, second)
+	dsp.exc.log.Info("request sent", zap.Bool("second", second), zap.String("target", string(chc.Instance.ID)), zap.Int("rank", chc.Rank),
 		zap.Float64("expected", chc.Expected), zap.Float64("load", chc.Load), zap.Duration("load-age", chc.LoadAge),
 		zap.Bool("warm", chc.Warm), zap.Bool("cold", chc.Cold), zap.Inline(chc.Rejected))
 	go func() {
 		defer cancel()
 		atm.rep, atm.err = frt.cfg.Sender.Do(sctx, chc.Instance, dsp.msg)
 		frt.reportAttempt(dsp.affinityHash, atm)
+		dsp.recordLatency(atm, second)
 		select {
 		case dsp.results <- atm:
 		case <-dsp.ended:
@@ -181,6 +187,7 @@
 		dsp.exc.frt.markHarmless(dsp.exc.vew, dsp.fingerprint)
 		dsp.exc.frt.medianLatency(dsp.exc.route, dsp.exc.frt.cfg.Clock.Now().Sub(atm.start))
 		if atm.rep.Status < http.StatusInternalServerError && !impliesNotRun(atm.rep.Status) {
+			dsp.hedging.winner = atm
 			return true
 		}
 		dsp.keepFallback(&atm.rep)
@@ -192,6 +199,7 @@
 		return false
 	}
 	errors.As(atm.err, &fai)
+	dsp.hedging.shed = dsp.hedging.shed || fai.Kind == send.KindShed
 	dsp.exc.log.Info("attempt failed", zap.String("target", string(atm.chc.Instance.ID)), zap.String("kind", string(fai.Kind)),
 		zap.Bool("not-run", fai.NotRun), zap.Error(fai.Err), zap.Duration("took", dsp.exc.frt.cfg.Clock.Now().Sub(atm.start)))
 	if fai.NotRun && !fai.HeaderReceived {
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -24,6 +24,7 @@
 	"go.uber.org/zap"
 
 	"cardamompass"
+	"cardamompass/internal/conf/steer"
 	"cardamompass/internal/edge/buffer"
 	"cardamompass/internal/edge/send"
 	"cardamompass/internal/fleet/view"
@@ -43,6 +44,8 @@
 type Config struct {
 	// Settings returns the current settings.
 	Settings func() cardamompass.VMSettings
+	// Steering returns the current settings of the steering file. Optional.
+	Steering func() steer.Settings
 	Protocol cardamompass.Protocol
 	Clock    cardamompass.Clock
 	Log      *zap.Logger
@@ -79,6 +82,7 @@
 	medians     map[string]time.Duration // estimated median latency by host and prefix of the route
 	harmless    map[string]bool          // fingerprints of content that crashed instances but was answered since
 	crashChecks sync.WaitGroup
+	hedges      *hedges
 }
 
 // New returns a Front and a function that waits for its background checks.
@@ -86,6 +90,9 @@
 	if cfg.OnLeaving == nil {
 		cfg.OnLeaving = func(cardamompass.Instance) {}
 	}
+	if cfg.Steering == nil {
+		cfg.Steering = func() (set steer.Settings) { return set }
+	}
 	if cfg.Bodies == nil {
 		cfg.Bodies = buffer.New(buffer.Config{})
 	}
@@ -96,6 +103,7 @@
 		splits:   make(map[string]*split),
 		medians:  make(map[string]time.Duration),
 		harmless: make(map[string]bool),
+		hedges:   newHedges(),
 	}
 	return frt, frt.crashChecks.Wait
 }
@@ -208,6 +216,9 @@
 			Deadline:      exc.start.Add(exc.timeout(exc.route)),
 			NonIdempotent: !exc.route.Idempotent,
 		},
+		hedging: hedging{
+			percent: exc.frt.cfg.Steering().HedgeLimitPercent,
+		},
 	}
 	if exc.frt.blocked(exc.vew, dsp.fingerprint) {
 		exc.refuse("requests with this content crash targets")
@@ -315,6 +326,9 @@
 	if exc.retryAfter > 0 {
 		fields = append(fields, zap.Duration("retry-after", exc.retryAfter))
 	}
+	if dsp.hedging.outcome != "" {
+		fields = append(fields, zap.String("hedge", dsp.hedging.outcome))
+	}
 	if err != nil {
 		exc.log.Warn("request "+outcome, append(fields, zap.Error(err))...)
 		return
--- a/internal/edge/front/metric.go
+++ b/internal/edge/front/metric.go
@@ -18,14 +18,17 @@
 	// leaving and backoffs count the instances that stated that they leave or that they want no requests for a time.
 	leaving  tally.Counter
 	backoffs tally.Counter
+	// hedgeTime is the time in milliseconds for which second attempts ran beside first ones.
+	hedgeTime tally.Counter
 }
 
 func newMetrics(scp tally.Scope) (met metrics) {
 	return metrics{
-		scope:    scp,
-		refused:  scp.Counter("refused-early"),
-		leaving:  scp.Counter("targets-leaving"),
-		backoffs: scp.Counter("target-backoffs"),
+		scope:     scp,
+		refused:   scp.Counter("refused-early"),
+		leaving:   scp.Counter("targets-leaving"),
+		backoffs:  scp.Counter("target-backoffs"),
+		hedgeTime: scp.Counter("hedge-milliseconds"),
 	}
 }
 
@@ -46,4 +49,11 @@
 	}).Counter("attempts").Inc(1)
 }
 
+// observeHedge counts a hedge by result: "won", "lost", or the reason why it was not sent.
+func (met metrics) observeHedge(result string) {
+	met.scope.Tagged(map[string]string{
+		"result": result,
+	}).Counter("hedges").Inc(1)
+}
+
 func formatWeight(weight float64) (text string) { return strconv.FormatFloat(weight, 'g', -1, 64) }
--- a/internal/edge/front/policy.go
+++ b/internal/edge/front/policy.go
@@ -19,14 +19,6 @@
 	initialMedianFactor = 0.5
 	// medianStep is the fraction by which each response moves the estimate of the median latency.
 	medianStep = 0.03
-	// hedgeLatencyFactor is the expected latency of a hedge relative to the median. A hedge that starts that long before the
-	// objective can still be answered within it.
-	hedgeLatencyFactor = 1.2
-	// callerTransferTime is the time that a response takes from this VM to the caller.
-	callerTransferTime = 15 * time.Millisecond
-	// minHedgeDelayFactor is the shortest hedge delay relative to the median latency. A shorter delay would hedge requests that
-	// take their usual time.
-	minHedgeDelayFactor = 1.25
 	// highestMaxLoad is the load relative to the slots up to which requests of the highest priority are sent to a target. A queue
 	// as long as the number of slots is about what an objective leaves time for. Each lower priority has maxLoadStep less, down to
 	// lowestMaxLoad.
@@ -56,13 +48,6 @@
 	return bud
 }
 
-// hedgeDelay returns the time after which the first attempt is hedged.
-func (dsp *dispatch) hedgeDelay() (dur time.Duration) {
-	med := dsp.exc.frt.medianLatency(dsp.exc.route, 0)
-	latest := dsp.exc.route.LatencyObjective - time.Duration(hedgeLatencyFactor*float64(med)) - callerTransferTime
-	return max(latest, time.Duration(minHedgeDelayFactor*float64(med)))
-}
-
 // medianLatency returns the estimated median latency of the attempts of a route. If ela is not 0, the estimate is first updated
 // with a response that took ela.
 func (frt *Front) medianLatency(rte *cardamompass.Route, ela time.Duration) (med time.Duration) {
@@ -85,11 +70,6 @@
 	return med
 }
 
-// mayHedge reports whether a second attempt may start while the first is running.
-func (dsp *dispatch) mayHedge() (ok bool) {
-	return dsp.exc.route.Idempotent && len(dsp.tried) < dsp.exc.route.MaxTargets && dsp.hasTime()
-}
-
 // retryAfter returns the time after which the caller of a request that has not run is told to retry.
 func (dsp *dispatch) retryAfter(err error) (dur time.Duration) {
 	var ntg *noTargetError
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"cardamompass"
+	"cardamompass/internal/conf/steer"
 	"cardamompass/internal/edge/buffer"
 	"cardamompass/internal/edge/direct"
 	"cardamompass/internal/edge/front"
@@ -54,6 +55,8 @@
 type Config struct {
 	// Settings are the settings at the start; see SetBounds.
 	Settings cardamompass.VMSettings
+	// Steering are the settings of the steering file at the start; see SetSteering.
+	Steering steer.Settings
 	Protocol cardamompass.Protocol
 	Registry cardamompass.Registry
 	Clock    cardamompass.Clock
@@ -70,6 +73,7 @@
 	cfg       Config
 	self      cardamompass.VM
 	settings  atomic.Pointer[cardamompass.VMSettings] // replaced as a whole
+	steering  atomic.Pointer[steer.Settings]          // replaced as a whole
 	follower  *view.Follower
 	presence  *presence
 	exchanger *cast.Exchanger
@@ -118,6 +122,7 @@
 		}),
 	}
 	nod.settings.Store(&set)
+	nod.SetSteering(cfg.Steering)
 	scp := cfg.Metrics.Scope()
 	connections := scp.Counter("target-connections")
 	nod.sender = startComponent(nod, func() (*send.Sender, func()) {
@@ -167,6 +172,9 @@
 	nod.balancer.SetBounds(placeBounds(set))
 }
 
+// SetSteering applies changed settings of the steering file to requests that arrive from now on.
+func (nod *Node) SetSteering(set steer.Settings) { nod.steering.Store(&set) }
+
 func placeBounds(set cardamompass.VMSettings) (bnd place.Bounds) {
 	return place.Bounds{
 		ColdOverage:    set.ColdOverage,
@@ -181,6 +189,7 @@
 	nod.front = startComponent(nod, func() (*front.Front, func()) {
 		return front.New(front.Config{
 			Settings: nod.Settings,
+			Steering: func() steer.Settings { return *nod.steering.Load() },
 			Protocol: cfg.Protocol,
 			Clock:    cfg.Clock,
 			Log:      cfg.Log,
--- a/internal/edge/node/state.go
+++ b/internal/edge/node/state.go
@@ -28,6 +28,9 @@
 	scp.Gauge("active-requests").Update(float64(nod.front.Active()))
 	scp.Gauge("request-body-bytes").Update(float64(nod.requestBodies.Used()))
 	scp.Gauge("response-body-bytes").Update(float64(nod.responseBodies.Used()))
+	if share, ok := nod.front.HedgeShare(); ok {
+		scp.Gauge("hedge-share").Update(share)
+	}
 	scp.Gauge("log-lines-dropped").Update(float64(nod.cfg.LinesDropped()))
 }
 
--- a/internal/obs/trace/trace.go
+++ b/internal/obs/trace/trace.go
@@ -186,6 +186,9 @@
 	if sent := tml.last("request sent"); sent != nil && sent.Get("second") == "true" {
 		text += "; the first target was slow, and a second one was asked"
 	}
+	if rejected := tml.last("hedge not sent"); rejected != nil {
+		text += "; the first target was slow, and no second one was asked: " + rejected.Get("reason")
+	}
 	return text
 }
 
