--- a/internal/steer/hedge/limit.go
+++ b/internal/steer/hedge/limit.go
@@ -9,12 +9,11 @@
 	step = 100 * time.Millisecond
 	// windowSteps is the number of steps in Window.
 	windowSteps = int(Window / step)
-	// burstSteps is the number of steps, 2 s, whose requests bound the tokens in stock. The stock is what can be spent in a window in
-	// addition to what the requests of that window earn.
+	// burstSteps is the number of steps, 2 s, whose requests bound the tokens in stock. Without that bound, a VM that sends no hedges
+	// during a burst of requests, because the targets are busy, would send those of 10 s at once when the burst ends.
 	burstSteps = 20
-	// tokenCost is the cost of a hedge in credit, of which each request earns as much as the limit has percent. It is more than 100 by
-	// burstSteps / windowSteps, so that the hedges of a window are within the limit although some were earned in the 2 s before it.
-	tokenCost = 100 + 100*burstSteps/windowSteps
+	// tokenCost is the cost of a hedge in credit, of which each request earns as much as the limit has percent.
+	tokenCost = 100
 )
 
 // Limit is this VM's part of the limit on hedges. The parts of all VMs together keep the limit, because each VM spends only what its own
@@ -27,7 +26,9 @@
 //
 // and for any interval, if the VM earns at least a token within 2 s:
 //
-//	hedges in the interval <= percent / 1.2 of the requests in the interval and in the 2 s before it
+//	hedges in the interval <= percent of the requests in the interval and in the 2 s before it
+//
+// With fewer requests, the 10 s before the interval take the place of the 2 s.
 //
 // The zero value has no tokens and no requests. It is not safe for concurrent use.
 type Limit struct {
@@ -59,7 +60,7 @@
 func (lim *Limit) Allows(percent int, now time.Time) (ok bool) {
 	lim.advance(now)
 	lim.cap(percent)
-	return lim.credit >= tokenCost && 100*(lim.total.hedges+1) <= percent*lim.total.requests
+	return lim.credit >= tokenCost && tokenCost*(lim.total.hedges+1) <= percent*lim.total.requests
 }
 
 // Take takes a token for a hedge and reports whether it is allowed.
