front, place, steer, entryvm: tests of the limited hedge

Targets of the fixture of front get failure domains: a hedge goes to a target of the same domain only if that domain has reported since the first attempt. ptarg tells how many requests run, so that a cancelled attempt is seen to end.

--- a/cmd/entryvm/reload.go
+++ b/cmd/entryvm/reload.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"cardamompass"
 	"cardamompass/internal/conf/steer"
 	"cardamompass/internal/edge/node"
 	"cardamompass/platform"
@@ -27,8 +28,16 @@
 	last  []byte
 }
 
+// settable is what the files are applied to.
+type settable interface {
+	SetBounds(set cardamompass.VMSettings)
+	SetSteering(set steer.Settings)
+}
+
+var _ settable = (*node.Node)(nil)
+
 // watchedFiles returns the reloaders of the platform's settings file and of the steering file, whose path may be empty.
-func watchedFiles(settings, steering string, nod *node.Node, log *zap.Logger) (files []*reloader) {
+func watchedFiles(settings, steering string, nod settable, log *zap.Logger) (files []*reloader) {
 	last, _ := os.ReadFile(settings) // just loaded; if this read fails, the next check sees a change
 	files = []*reloader{{
 		path: settings,
--- a/internal/edge/front/export_test.go
+++ b/internal/edge/front/export_test.go
@@ -1,6 +1,12 @@
 package front
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+
+	"cardamompass/internal/steer/budget"
+	"cardamompass/internal/steer/hedge"
+)
 
 // Fingerprint returns the fingerprint of a request with the given body.
 func (frt *Front) Fingerprint(req *http.Request, body []byte) (text string) {
@@ -11,3 +17,16 @@
 
 // WaitCrashChecks waits until all checks of broken connections have ended.
 func (frt *Front) WaitCrashChecks() { frt.crashChecks.Wait() }
+
+// TakeHedges sends hedges after a number of requests until one is rejected. It returns their number, the reason, and the share that is
+// counted.
+func TakeHedges(requests, percent int, bud *budget.Budget, now time.Time) (taken int, rsn hedge.Reason, share float64) {
+	hds := newHedges()
+	for range requests {
+		hds.limit.Request(percent, now)
+	}
+	for rsn = hds.take(percent, bud, now); rsn == hedge.Allowed; rsn = hds.take(percent, bud, now) {
+		taken++
+	}
+	return taken, rsn, hds.limit.Share(now)
+}
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -8,12 +8,14 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
 	"cardamompass"
+	"cardamompass/internal/conf/steer"
 	"cardamompass/internal/edge/buffer"
 	"cardamompass/internal/edge/front"
 	"cardamompass/internal/edge/send"
@@ -36,6 +38,10 @@
 	balancer *place.Balancer
 	bodies   *buffer.Pool
 	crashes  []cardamompass.Crash
+	// steering is what the front reads; the zero value is the default.
+	steering atomic.Pointer[steer.Settings]
+	metrics  *metric.Metrics
+	sender   *send.Sender
 }
 
 const (
@@ -62,6 +68,10 @@
 	one := cardamompass.WeightedService{Service: service, Weight: 1}
 	hedged := route("/hedged/", true, one)
 	hedged.LatencyObjective = 50 * time.Millisecond
+	late := route("/late/", false, one)
+	late.LatencyObjective = 50 * time.Millisecond
+	away := route("/away/", true, one)
+	away.HomeRegions = []cardamompass.Region{"x"}
 	patient := route("/patient/", false, one)
 	patient.Timeout = 10 * time.Second
 	return &cardamompass.RoutingTable{
@@ -73,6 +83,8 @@
 			route("/split/", true, cardamompass.WeightedService{Service: service, Weight: 3},
 				cardamompass.WeightedService{Service: "none", Weight: 1}),
 			hedged,
+			late,
+			away,
 			patient,
 		},
 		Limits: cardamompass.CallerLimits{
@@ -93,11 +105,14 @@
 		Clock:    cardamompass.SystemClock{},
 		Dial:     send.Dialer(time.Second),
 	})
+	fxt.steering.Store(&steer.Settings{})
 	mtr, stopMetrics := metric.New(metric.Config{})
+	fxt.metrics, fxt.sender = mtr, snd
 	frt, stopFront := front.New(front.Config{
 		Settings: func() cardamompass.VMSettings {
 			return cardamompass.VMSettings{RetryBudgetPercent: 20, RetryBudgetSlack: 56, RetryBudgetWindow: 10 * time.Second}
 		},
+		Steering: func() steer.Settings { return *fxt.steering.Load() },
 		Protocol: platform.Protocol{},
 		Clock:    cardamompass.SystemClock{},
 		Log:      zap.NewNop(),
@@ -135,11 +150,12 @@
 		fxt.stops = append(fxt.stops, stop)
 		chs = append(chs, cardamompass.Change{
 			Instance: &cardamompass.Instance{
-				ID:      cardamompass.InstanceID(id),
-				Service: service,
-				Region:  "r",
-				Address: tgt.Address(),
-				Slots:   6,
+				ID:            cardamompass.InstanceID(id),
+				Service:       service,
+				Region:        "r",
+				FailureDomain: cardamompass.FailureDomain(fmt.Sprintf("d-%d", num)),
+				Address:       tgt.Address(),
+				Slots:         6,
 			},
 		})
 	}
--- a/internal/obs/trace/trace_test.go
+++ b/internal/obs/trace/trace_test.go
@@ -14,6 +14,8 @@
 time=2026-01-24T09:36:00.200Z level=info event="attempt failed" process=vm-1 request=r-1 target=i-1 kind=broken not-run=false error=EOF
 panic: not a line of the log
 time=2026-01-24T09:36:00.300Z level=info event="request answered" process=vm-1 request=r-10 status=200
+time=2026-01-24T09:36:00.300Z level=info event="hedge not sent" process=vm-1 request=r-11 reason=busy
+time=2026-01-24T09:36:00.400Z level=info event="request answered" process=vm-1 request=r-11 status=200 took=310ms hedge=busy
 time=2026-01-24T09:36:01.000Z level=warn event="request refused" process=vm-2 request=r-2 reason="the VM stops" store-age=4ms
 time=2026-01-24T09:36:01.000Z level=info event="request sent" process=vm-2 request=r-3 second=false target=i-1
 time=2026-01-24T09:36:02.000Z level=warn event="request timeout" process=vm-2 request=r-3 allowed=1s
@@ -38,6 +40,7 @@
 		{"r-5", 1, 1, "no target of s can be used: {Backoff:1}; the caller was told to retry after 2.3s"},
 		{"r-6", 1, 1, "its body was not received, so that it has not run: i/o timeout"},
 		{"r-10", 1, 1, "answered with 200"},
+		{"r-11", 2, 1, "the first target was slow, and no second one was asked: busy"},
 		{"r-9", 0, 0, "no line names this request"},
 	}
 	for _, tst := range tests {
--- a/internal/stand/ptarg/ptarg.go
+++ b/internal/stand/ptarg/ptarg.go
@@ -235,6 +235,9 @@
 	return append(runs, tgt.runs...)
 }
 
+// Running returns the number of requests that run. A request ends at the latest when its connection is closed.
+func (tgt *Target) Running() (count int) { return int(tgt.running.Load()) }
+
 // Refusals returns the number of requests that the target refused to run.
 func (tgt *Target) Refusals() (count int) {
 	tgt.mu.Lock()
