--- a/internal/edge/front/export_test.go
+++ b/internal/edge/front/export_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"time"
 
 	"cardamompass"
+	"cardamompass/internal/steer/budget"
+	"cardamompass/internal/steer/hedge"
 )
 
 // Fingerprint returns the fingerprint of a request with the given body.
@@ -20,3 +23,16 @@
 func MaxLoad(tbl *cardamompass.RoutingTable, priority int) (limit float64) {
 	return maxLoad(tbl, priority)
 }
+
+// TakeHedges sends hedges after a number of requests until one is rejected. It returns their number, the reason, and the share that is
+// counted.
+func TakeHedges(requests, percent int, bud *budget.Budget, now time.Time) (taken int, rsn hedge.Reason, share float64) {
+	hds := newHedges()
+	for range requests {
+		hds.limit.Request(percent, now)
+	}
+	for rsn = hds.take(percent, bud, now); rsn == hedge.Allowed; rsn = hds.take(percent, bud, now) {
+		taken++
+	}
+	return taken, rsn, hds.limit.Share(now)
+}
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -9,10 +9,12 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"cardamompass"
+	"cardamompass/internal/conf/steer"
 	"cardamompass/internal/edge/buffer"
 	"cardamompass/internal/edge/front"
 	"cardamompass/internal/edge/send"
@@ -40,6 +42,9 @@
 	onDial  func()
 	logs    logBuffer
 	metrics *metric.Metrics
+	// steering is what the front reads; the zero value is the default.
+	steering atomic.Pointer[steer.Settings]
+	sender   *send.Sender
 }
 
 // logBuffer holds the lines of a log. It is safe for concurrent use.
@@ -84,6 +89,10 @@
 	one := cardamompass.WeightedService{Service: service, Weight: 1}
 	hedged := route("/hedged/", true, one)
 	hedged.LatencyObjective = 50 * time.Millisecond
+	late := route("/late/", false, one)
+	late.LatencyObjective = 50 * time.Millisecond
+	away := route("/away/", true, one)
+	away.HomeRegions = []cardamompass.Region{"x"}
 	patient := route("/patient/", false, one)
 	patient.Timeout = 10 * time.Second
 	return &cardamompass.RoutingTable{
@@ -95,6 +104,8 @@
 			route("/split/", true, cardamompass.WeightedService{Service: service, Weight: 3},
 				cardamompass.WeightedService{Service: "none", Weight: 1}),
 			hedged,
+			late,
+			away,
 			patient,
 		},
 		Limits: cardamompass.CallerLimits{
@@ -123,12 +134,14 @@
 		Dial:     fxt.dialTarget,
 		Log:      lgr.Logger,
 	})
+	fxt.steering.Store(&steer.Settings{})
 	mtr, stopMetrics := metric.New(metric.Config{})
-	fxt.metrics = mtr
+	fxt.metrics, fxt.sender = mtr, snd
 	frt, stopFront := front.New(front.Config{
 		Settings: func() cardamompass.VMSettings {
 			return cardamompass.VMSettings{RetryBudgetPercent: 20, RetryBudgetSlack: 56, RetryBudgetWindow: 10 * time.Second}
 		},
+		Steering: func() steer.Settings { return *fxt.steering.Load() },
 		Protocol: platform.Protocol{},
 		Clock:    cardamompass.SystemClock{},
 		Log:      lgr.Logger,
@@ -166,11 +179,12 @@
 		fxt.stops = append(fxt.stops, stop)
 		chs = append(chs, cardamompass.Change{
 			Instance: &cardamompass.Instance{
-				ID:      cardamompass.InstanceID(id),
-				Service: service,
-				Region:  "r",
-				Address: tgt.Address(),
-				Slots:   6,
+				ID:            cardamompass.InstanceID(id),
+				Service:       service,
+				Region:        "r",
+				FailureDomain: cardamompass.FailureDomain(fmt.Sprintf("d-%d", num)),
+				Address:       tgt.Address(),
+				Slots:         6,
 			},
 		})
 	}
