view, node: watches wait longer in large fleets

Cause: each VM made a watch of the store each 1.5 s even when nothing changed. Change: a watch waits 100 ms for each running VM, 1.5 to 10 s; 7 VMs watch as before. A silent connection is noticed by TCP keep-alive (3 s), a store that does not answer by the renewal of the lease each second, after whose failure the watch is given up for a call that is answered at once. TestCheckEndsLongWatch. Ruled out: 10 s for all fleets (earlier small deployments are served as before).

--- a/internal/edge/node/presence.go
+++ b/internal/edge/node/presence.go
@@ -67,7 +67,7 @@
 		var gone *cardamompass.NotFoundError
 		if err == nil {
 			announced = true
-		} else if errors.As(err, &gone) {
+		} else if prs.nod.follower.Check(); errors.As(err, &gone) {
 			prs.lease = 0
 			announced = false
 			if prs.ctx.Err() == nil {
--- a/internal/fleet/view/follow.go
+++ b/internal/fleet/view/follow.go
@@ -12,9 +12,12 @@
 )
 
 const (
-	// watchWait is how long the store holds a watch without changes. An unresponsive connection is detected only when the wait is
-	// over, and changes must take effect about two seconds after their acknowledgement.
-	watchWait = 1500 * time.Millisecond
+	// watchPerVM is how long the store holds a watch without changes for each running VM, between watchMin and watchMax: each watch costs
+	// money, and the store's rates grow more slowly than the fleet. A connection that went silent is detected by TCP keep-alive within 3 s,
+	// and a store that does not answer by the renewals of the VM's lease; see Check.
+	watchPerVM = 100 * time.Millisecond
+	watchMin   = 1500 * time.Millisecond
+	watchMax   = 10 * time.Second
 	// batchPerVM is the pause after changes for each running VM, between batchMin and batchMax, so that changes in quick succession
 	// are fetched with one call. Calls cost money, each change costs one call of every VM, and changes have at least two seconds
 	// to take effect.
@@ -62,6 +65,9 @@
 	// early passes on changes that arrive before the call that reads them has ended, peer those that other VMs have reported.
 	early chan []cardamompass.Change
 	peer  chan []cardamompass.Change
+	// giveUp ends the current watch, checking makes the next call one that the store answers at once.
+	giveUp   atomic.Pointer[context.CancelCauseFunc]
+	checking bool
 	// outageSince is the time of the first failure of the present outage, in nanoseconds since the Unix epoch; 0 if there is none.
 	outageSince atomic.Int64
 }
@@ -120,6 +126,17 @@
 	}
 }
 
+// errChecked is the cause of the end of a watch that Check has given up.
+var errChecked = errors.New("the store is checked")
+
+// Check gives up the current watch for a call that the store answers at once. It is called when another call of the store has failed, so
+// that an outage is noticed before the end of a long watch.
+func (flw *Follower) Check() {
+	if cancel := flw.giveUp.Load(); cancel != nil {
+		(*cancel)(errChecked)
+	}
+}
+
 type fetchResult struct {
 	chs      []cardamompass.Change
 	revision int64
@@ -185,10 +202,16 @@
 		fre.chs, fre.revision, fre.err = flw.cfg.Registry.List(ctx, patience)
 		return fre
 	}
-	wait := watchWait
-	if flw.outage.Ongoing {
+	wait := min(watchMax, max(watchMin, watchPerVM*time.Duration(len(flw.View().vms))))
+	if flw.outage.Ongoing || flw.checking {
 		wait = outageWatchWait
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if wait > watchMin {
+		flw.giveUp.Store(&cancel)
+		defer flw.giveUp.Store(nil)
+	}
 	fre.chs, fre.revision, fre.err = flw.cfg.Registry.Watch(ctx, flw.View().Revision, wait, func(chs []cardamompass.Change) {
 		if len(chs) == 0 {
 			return
@@ -198,10 +221,17 @@
 		case <-ctx.Done():
 		}
 	})
+	if fre.err != nil && errors.Is(context.Cause(ctx), errChecked) {
+		fre.err = errChecked
+	}
 	return fre
 }
 
 func (flw *Follower) handle(ctx context.Context, fre fetchResult) {
+	flw.checking = errors.Is(fre.err, errChecked)
+	if flw.checking {
+		return
+	}
 	var lost *cardamompass.HistoryLostError
 	if errors.As(fre.err, &lost) {
 		flw.recordResponse(flw.View().Revision)
--- a/internal/fleet/view/slow_test.go
+++ b/internal/fleet/view/slow_test.go
@@ -252,3 +252,26 @@
 	slf.link.SetBandwidth(fault.Down, slowLink)
 	slf.awaitVersion(2)
 }
+
+// Guards against an outage that a VM of a large fleet notices only at the end of a long watch, and against one that is taken for an outage
+// although only another call has failed.
+func TestCheckEndsLongWatch(t *testing.T) {
+	const bound = 1500 * time.Millisecond
+	slf := followSlowly(t)
+	slf.addVMs(largeFleet)
+	time.Sleep(bound) // the next watch has begun
+	slf.Check()
+	slf.sto.PutRaw("op/evacuate/z-1", []byte("{}"))
+	waitFor(t, bound, "a change after a check", func() bool { return slf.View().Evacuated("z-1") })
+	if slf.logs.FilterMessage("store lost").Len() > 0 {
+		t.Error("the store counted as lost although it answered")
+	}
+	time.Sleep(bound)
+	slf.sto.SetFaults(pstore.Faults{
+		NoReply: true,
+	})
+	slf.Check()
+	waitFor(t, bound, "the outage", func() bool { return slf.OutageAge() > 0 })
+	slf.sto.SetFaults(pstore.Faults{})
+	waitFor(t, bound, "the end of the outage", func() bool { return slf.OutageAge() == 0 })
+}
