wait, front: requests wait for room at targets

Change: package wait decides whether it waits, in which order, and when a refused caller returns; front drives it. Off unless Config.Waiting is set. The policy is not right yet: requests that wait keep the targets' queues full.

--- a/internal/edge/front/dispatch.go
+++ b/internal/edge/front/dispatch.go
@@ -12,6 +12,7 @@
 	"cardamompass"
 	"cardamompass/internal/edge/send"
 	"cardamompass/internal/steer/place"
+	"cardamompass/internal/steer/wait"
 )
 
 const (
@@ -34,9 +35,13 @@
 	unsent      int // attempts that ended before they reached a target
 	// mayHaveRun is set once a target may have run the request.
 	mayHaveRun bool
-	fallback   *send.Reply // error response of a target, used when no better response comes
-	results    chan *attempt
-	ended      chan struct{} // closed when no more results are received
+	// returned is set until the request has a place if it counts as that of a caller that was told to return.
+	returned bool
+	// refusal is that of the queue of waiting requests, if it refused the request.
+	refusal  *wait.Refusal
+	fallback *send.Reply // error response of a target, used when no better response comes
+	results  chan *attempt
+	ended    chan struct{} // closed when no more results are received
 }
 
 // noTargetError reports that no target can be used now.
@@ -128,27 +133,21 @@
 		return nil, errCallerDisconnected
 	}
 	frt := dsp.exc.frt
-	now := frt.cfg.Clock.Now()
-	chc, ok := frt.cfg.Balancer.Choose(place.Query{
-		Service:      dsp.exc.service,
-		AffinityHash: dsp.affinityHash,
-		Route:        dsp.exc.route,
-		Tried:        dsp.tried,
-		MaxLoad:      maxLoad(dsp.exc.vew.Table, dsp.exc.route),
-		Hedge:        hedge,
-		Now:          now,
-	})
-	if !ok {
-		return nil, &noTargetError{
-			service: dsp.exc.service,
-			choice:  chc,
-		}
+	waiting := !hedge && frt.waits.active()
+	chc, now, err := dsp.choose(ctx, hedge, waiting)
+	if err != nil {
+		return nil, err
 	}
 	if (hedge || dsp.sent > 0) && !frt.retryBudget(dsp.exc.service).TakeExtra(now) {
 		dsp.exc.log.Info("repeat not allowed", zap.Bool("second", hedge), zap.String("reason", "budget"))
+		if waiting {
+			frt.waits.giveBack(dsp, chc)
+		}
 		return nil, errors.New("retry budget exhausted")
 	}
-	frt.cfg.Balancer.RecordSent(chc.Instance.ID, now)
+	if !waiting {
+		frt.cfg.Balancer.RecordSent(chc.Instance.ID, now)
+	}
 	dsp.tried = append(dsp.tried, chc.Instance.ID)
 	sctx, cancel := context.WithDeadline(ctx, dsp.msg.Deadline)
 	atm = &attempt{
@@ -172,6 +171,22 @@
 	return atm, nil
 }
 
+// choose returns a target for the request and the time of the choice. If waiting is set, it may wait for one, and the place there is
+// recorded as taken.
+func (dsp *dispatch) choose(ctx context.Context, hedge, waiting bool) (chc place.Choice, now time.Time, err error) {
+	frt := dsp.exc.frt
+	if waiting {
+		chc, err = frt.waits.choose(ctx, dsp)
+		return chc, frt.cfg.Clock.Now(), err
+	}
+	now = frt.cfg.Clock.Now()
+	chc, ok := frt.cfg.Balancer.Choose(dsp.query(hedge, now))
+	if !ok {
+		return chc, now, dsp.noTarget(chc)
+	}
+	return chc, now, nil
+}
+
 // handleResult processes the end of an attempt and reports whether its response goes to the caller.
 func (dsp *dispatch) handleResult(atm *attempt) (done bool) {
 	var fai *send.Failure
@@ -266,6 +281,7 @@
 	if out.Load != nil {
 		frt.cfg.OnLoad(out.Instance, *out.Load)
 	}
+	frt.waits.recordEnd(atm.chc.Instance.Service, out.Result)
 	frt.reportNews(atm.chc.Instance, inf, news)
 	frt.met.observeAttempt(out.Result)
 }
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -63,6 +63,11 @@
 	Dial func(ctx context.Context, network, address string) (con net.Conn, err error)
 	// Bodies is the memory for the bodies of requests. Optional.
 	Bodies *buffer.Pool
+	// Waiting reports whether requests for which no target has room may wait. Optional; without it none does.
+	Waiting func() bool
+	// Room receives a value when a target may have room for another reason than a response to this VM: a load report of another VM, or a
+	// change of the view. Optional.
+	Room <-chan struct{}
 }
 
 // Front is the HTTP handler of callers' requests. It is safe for concurrent use.
@@ -72,6 +77,7 @@
 	draining atomic.Bool // responses close their connections
 	refusing atomic.Bool // new requests are refused
 	active   atomic.Int64
+	waits    *waitRoom
 
 	mu          sync.Mutex
 	budgets     map[cardamompass.ServiceName]*budget.Budget
@@ -81,7 +87,7 @@
 	crashChecks sync.WaitGroup
 }
 
-// New returns a Front and a function that waits for its background checks.
+// New returns a Front and a function that refuses the requests that wait for room and waits for its background checks.
 func New(cfg Config) (frt *Front, cleanup func()) {
 	if cfg.OnLeaving == nil {
 		cfg.OnLeaving = func(cardamompass.Instance) {}
@@ -97,14 +103,22 @@
 		medians:  make(map[string]time.Duration),
 		harmless: make(map[string]bool),
 	}
-	return frt, frt.crashChecks.Wait
+	frt.waits = newWaitRoom(frt)
+	return frt, func() {
+		frt.waits.close()
+		frt.crashChecks.Wait()
+	}
 }
 
 // Drain makes each response close its connection, so that callers connect to other VMs.
 func (frt *Front) Drain() { frt.draining.Store(true) }
 
-// Refuse makes the Front refuse new requests as not run.
-func (frt *Front) Refuse() { frt.refusing.Store(true) }
+// Refuse makes the Front refuse new requests, and those that wait for room, as not run.
+func (frt *Front) Refuse() {
+	if !frt.refusing.Swap(true) {
+		frt.waits.refuseAll()
+	}
+}
 
 // Active returns the number of requests in progress.
 func (frt *Front) Active() (count int) { return int(frt.active.Load()) }
@@ -144,6 +158,8 @@
 	received time.Time
 	// retryAfter is the time after which the caller was told to retry; 0 if it was not.
 	retryAfter time.Duration
+	// waited is the time for which the request has waited for room at a target.
+	waited time.Duration
 }
 
 func (exc *exchange) serve() {
@@ -312,6 +328,9 @@
 		zap.Int("sent", len(dsp.tried)), zap.Uint64("table", exc.vew.Table.Version),
 		zap.Duration("store-age", exc.frt.cfg.StoreAge()),
 	}
+	if exc.waited > 0 {
+		fields = append(fields, zap.Duration("waited", exc.waited))
+	}
 	if exc.retryAfter > 0 {
 		fields = append(fields, zap.Duration("retry-after", exc.retryAfter))
 	}
--- a/internal/edge/front/metric.go
+++ b/internal/edge/front/metric.go
@@ -18,14 +18,16 @@
 	// leaving and backoffs count the instances that stated that they leave or that they want no requests for a time.
 	leaving  tally.Counter
 	backoffs tally.Counter
+	waitMetrics
 }
 
 func newMetrics(scp tally.Scope) (met metrics) {
 	return metrics{
-		scope:    scp,
-		refused:  scp.Counter("refused-early"),
-		leaving:  scp.Counter("targets-leaving"),
-		backoffs: scp.Counter("target-backoffs"),
+		scope:       scp,
+		refused:     scp.Counter("refused-early"),
+		leaving:     scp.Counter("targets-leaving"),
+		backoffs:    scp.Counter("target-backoffs"),
+		waitMetrics: newWaitMetrics(scp),
 	}
 }
 
--- a/internal/edge/front/policy.go
+++ b/internal/edge/front/policy.go
@@ -92,6 +92,9 @@
 
 // retryAfter returns the time after which the caller of a request that has not run is told to retry.
 func (dsp *dispatch) retryAfter(err error) (dur time.Duration) {
+	if dsp.refusal != nil {
+		return dsp.refusal.RetryAfter
+	}
 	var ntg *noTargetError
 	if errors.As(err, &ntg) {
 		return RetryAfter(ntg.choice.Wait, rand.Float64())
--- /dev/null
+++ b/internal/edge/front/waitreq.go
@@ -0,0 +1,112 @@
+package front
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"cardamompass/internal/obs/metric"
+	"cardamompass/internal/steer/place"
+	"cardamompass/internal/steer/wait"
+)
+
+// mayWait reports whether a request that got no target may wait: some target is only full, and the request has certainly not run.
+// Targets that have gone or back off have no room soon.
+func (dsp *dispatch) mayWait(chc place.Choice) (ok bool) {
+	rej := chc.Rejected
+	return rej.Full+rej.Busy+rej.Cold > 0 && !dsp.mayHaveRun && dsp.fallback == nil
+}
+
+func (dsp *dispatch) noTarget(chc place.Choice) (err error) {
+	return &noTargetError{
+		service: dsp.exc.service,
+		choice:  chc,
+	}
+}
+
+// flow returns the team and the priority of the request.
+func (dsp *dispatch) flow() (flw wait.Flow) {
+	return wait.Flow{
+		Priority: dsp.exc.route.Priority,
+	}
+}
+
+// waitRequest describes the request to the queue.
+func (dsp *dispatch) waitRequest() (req wait.Request) {
+	exc := dsp.exc
+	return wait.Request{
+		Flow:           dsp.flow(),
+		Returned:       dsp.returned,
+		Bytes:          int64(len(dsp.msg.Body)),
+		Work:           exc.frt.medianLatency(exc.route, 0) + callerTransferTime,
+		Objective:      exc.start.Add(exc.route.LatencyObjective),
+		Deadline:       dsp.msg.Deadline,
+		CallerDeadline: exc.start.Add(exc.timeout(nil)),
+	}
+}
+
+// query describes the request to the balancer.
+func (dsp *dispatch) query(hedge bool, now time.Time) (qry place.Query) {
+	return place.Query{
+		Service:      dsp.exc.service,
+		AffinityHash: dsp.affinityHash,
+		Route:        dsp.exc.route,
+		Tried:        dsp.tried,
+		MaxLoad:      maxLoad(dsp.exc.vew.Table, dsp.exc.route),
+		Hedge:        hedge,
+		Now:          now,
+	}
+}
+
+// updateMetrics updates the metrics of promises and of the size of a queue. The caller holds the lock of srq.
+func (rom *waitRoom) updateMetrics(srq *serviceQueue) {
+	sts, old := srq.que.Stats(), srq.stats
+	srq.stats = sts
+	met := rom.frt.met
+	met.promisesGiven.Inc(int64(sts.Given - old.Given))
+	met.promisesKept.Inc(int64(sts.Kept - old.Kept))
+	met.promisesLapsed.Inc(int64(sts.Lapsed - old.Lapsed))
+	met.waitingRequests.Update(float64(rom.requests.Add(int64(sts.Waiting - old.Waiting))))
+	met.waitingBytes.Update(float64(rom.bytes.Add(sts.Bytes - old.Bytes)))
+}
+
+// waitMetrics are the metrics of waiting requests.
+type waitMetrics struct {
+	waitingRequests, waitingBytes               tally.Gauge
+	promisesGiven, promisesKept, promisesLapsed tally.Counter
+}
+
+func newWaitMetrics(scp tally.Scope) (met waitMetrics) {
+	return waitMetrics{
+		waitingRequests: scp.Gauge("waiting-requests"),
+		waitingBytes:    scp.Gauge("waiting-bytes"),
+		promisesGiven:   scp.Counter("return-promises-given"),
+		promisesKept:    scp.Counter("return-promises-kept"),
+		promisesLapsed:  scp.Counter("return-promises-lapsed"),
+	}
+}
+
+// observeWaitEnd records the end of a wait.
+func (met metrics) observeWaitEnd(outcome string, waited time.Duration) {
+	met.scope.Tagged(map[string]string{
+		"outcome": outcome,
+	}).Histogram("wait-seconds", metric.LatencyBuckets()).RecordDuration(waited)
+}
+
+// observeWaitRefusal counts a refusal.
+func (met metrics) observeWaitRefusal(rsn wait.Reason) {
+	met.scope.Tagged(map[string]string{
+		"reason": string(rsn),
+	}).Counter("wait-refusals").Inc(1)
+}
+
+// observeEstimate records the difference between the estimated and the actual time until room appeared.
+func (met metrics) observeEstimate(estimate, actual time.Duration) {
+	side := "longer"
+	if actual < estimate {
+		side = "shorter"
+	}
+	met.scope.Tagged(map[string]string{
+		"actual": side,
+	}).Histogram("wait-estimate-error-seconds", metric.LatencyBuckets()).RecordDuration((actual - estimate).Abs())
+}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -76,6 +76,7 @@
 	balancer  *place.Balancer
 	sender    *send.Sender
 	front     *front.Front
+	room      chan struct{} // of capacity 1; see announceRoom
 	intake    *intake.Intake
 	// requestBodies and responseBodies are the memory of bodies.
 	requestBodies  *buffer.Pool
@@ -101,6 +102,7 @@
 			Limits: callerLimits(nil),
 			Log:    cfg.Log,
 		}),
+		room: make(chan struct{}, 1),
 		self: cardamompass.VM{
 			ID:            set.ID,
 			Incarnation:   cfg.Incarnation,
@@ -199,6 +201,7 @@
 			OnCrash: reports.crashed,
 			Dial:    send.Dialer(targetAckTimeout),
 			Bodies:  nod.requestBodies,
+			Room:    nod.room,
 		})
 	})
 }
@@ -226,6 +229,15 @@
 	for _, rpt := range reports {
 		nod.balancer.RecordPeerLoad(rpt.Instance, rpt.Load, rpt.Age, now)
 	}
+	nod.announceRoom()
+}
+
+// announceRoom makes the requests that wait for room be tried again.
+func (nod *Node) announceRoom() {
+	select {
+	case nod.room <- struct{}{}:
+	default: // an earlier announcement is pending
+	}
 }
 
 func (nod *Node) recordDepartures(departures []cast.Departure) {
@@ -269,6 +281,7 @@
 func (nod *Node) viewChanged(_, next *view.View) {
 	nod.balancer.Sync(next, nod.cfg.Clock.Now())
 	nod.intake.SetLimits(callerLimits(next.Table))
+	nod.announceRoom()
 }
 
 // pruneIdle closes idle connections that have expired or whose targets are leaving or removed.
--- /dev/null
+++ b/internal/steer/wait/order.go
@@ -0,0 +1,182 @@
+package wait
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// usageDecay is the time constant with which the usage of a team is forgotten. It is about the time of one request of the slowest
+	// service, so that a team whose burst has ended is soon equal to the others again.
+	usageDecay = 2 * time.Second
+	// oldestTurn is the number of placements of which one is for the oldest request, whatever its priority and team.
+	oldestTurn = 8
+	// headTries is the number of requests at the head of the order that each pass tries. rotatedTries is the number of others, which
+	// continue where the last pass ended. Requests have different preferred targets, so that one further back may use room that those
+	// before it can't. A try costs as much as choosing a target, some microseconds for each hundred targets.
+	headTries    = 8
+	rotatedTries = 16
+)
+
+// flow is the state of the requests of one Flow.
+type flow struct {
+	waiting  int
+	weight   float64
+	used     float64 // decayed number of requests that got room
+	usedAt   time.Time
+	promises []promise // in order of their due times
+}
+
+func (que *Queue) flow(key Flow) (flw *flow) {
+	flw, ok := que.flows[key]
+	if !ok {
+		flw = &flow{
+			weight: 1,
+		}
+		que.flows[key] = flw
+	}
+	return flw
+}
+
+// usage returns the number of requests that got room recently, decayed with usageDecay.
+func (flw *flow) usage(now time.Time) (count float64) {
+	return flw.used * math.Exp(-now.Sub(flw.usedAt).Seconds()/usageDecay.Seconds())
+}
+
+// level returns the usage relative to the weight.
+func (flw *flow) level(now time.Time) (lvl float64) { return flw.usage(now) / flw.weight }
+
+func (que *Queue) recordUse(req Request, now time.Time) {
+	flw := que.flow(req.Flow)
+	flw.used, flw.usedAt = flw.usage(now)+1, now
+	flw.weight = 1
+	if req.Weight > 0 {
+		flw.weight = req.Weight
+	}
+	if req.Returned {
+		que.stats.Kept++
+	}
+	que.prune(now)
+}
+
+// prune forgets flows without state that matters. Without it, each team that ever sent a request would stay in memory.
+func (que *Queue) prune(now time.Time) {
+	const maxFlows = 128
+	if len(que.flows) <= maxFlows {
+		return
+	}
+	for key, flw := range que.flows {
+		if flw.waiting == 0 && len(flw.promises) == 0 && flw.usage(now) < 0.1 {
+			delete(que.flows, key)
+		}
+	}
+}
+
+// Started records that a request got room without waiting. It counts in the share of its team.
+func (que *Queue) Started(req Request, now time.Time) { que.recordUse(req, now) }
+
+// Pass offers room to the waiting requests in their order. place tries to find room for one and reports whether it did; the request then
+// no longer waits. A pass ends after a bounded number of tries, and the next one continues with other requests.
+//
+// The order is: priority; among the teams of one priority, the team with the smallest recent usage relative to its weight, which is
+// max-min fair for any demand of the others; callers that were told to return; requests that can be within the objective before late
+// ones; arrival. The load that this answers is a burst of one team of several times its share: its requests wait behind one another and
+// not before those of other teams.
+//
+// Every oldestTurn-th placement goes to the oldest waiting request if it can use the room. A request before which n older ones wait is
+// therefore overtaken by at most oldestTurn × (n + 1) placements into room that it could have used.
+func (que *Queue) Pass(now time.Time, place func(itm *Item) (ok bool)) {
+	tries := headTries + rotatedTries
+	for tries > 0 && que.passOnce(now, &tries, place) {
+	}
+}
+
+// passOnce tries requests until one is placed, and reports whether one was.
+func (que *Queue) passOnce(now time.Time, tries *int, place func(itm *Item) (ok bool)) (placed bool) {
+	all := que.order(que.items, now)
+	if que.sinceOldest >= oldestTurn-1 && len(all) > 0 {
+		oldest := slices.Index(all, que.items[0])
+		all = slices.Insert(slices.Delete(all, oldest, oldest+1), 0, que.items[0])
+	}
+	head := all[:min(headTries, len(all))]
+	rest := que.rotated(all[len(head):])
+	for _, itm := range slices.Concat(head, rest) {
+		if *tries--; *tries < 0 {
+			return false
+		}
+		if !place(itm) {
+			continue
+		}
+		que.sinceOldest++
+		if itm == que.items[0] {
+			que.sinceOldest = 0
+		}
+		que.remove(itm)
+		que.recordUse(itm.req, now)
+		que.learn(itm, now, false)
+		return true
+	}
+	return false
+}
+
+// rotated returns the requests that a pass tries after the head, beginning with those that the last pass has not reached.
+func (que *Queue) rotated(rest []*Item) (out []*Item) {
+	if len(rest) <= rotatedTries {
+		return rest
+	}
+	start := 0
+	for num, itm := range rest {
+		if itm.number == que.cursor {
+			start = num + 1
+		}
+	}
+	out = slices.Concat(rest[start:], rest[:start])[:rotatedTries]
+	que.cursor = out[len(out)-1].number
+	return out
+}
+
+// order returns the requests in their order.
+func (que *Queue) order(items []*Item, now time.Time) (out []*Item) {
+	byFlow := make(map[Flow][]*Item)
+	keys := make([]Flow, 0, len(que.flows))
+	for _, itm := range items {
+		if byFlow[itm.req.Flow] == nil {
+			keys = append(keys, itm.req.Flow)
+		}
+		byFlow[itm.req.Flow] = append(byFlow[itm.req.Flow], itm)
+	}
+	levels := make(map[Flow]float64, len(keys))
+	for _, key := range keys {
+		slices.SortFunc(byFlow[key], func(one, two *Item) int { return compare(one, two, now) })
+		levels[key] = que.flow(key).level(now)
+	}
+	out = make([]*Item, 0, len(items))
+	for len(out) < len(items) {
+		key := slices.MinFunc(keys, func(one, two Flow) int {
+			return cmp.Or(cmp.Compare(one.Priority, two.Priority), cmp.Compare(levels[one], levels[two]), cmp.Compare(one.Team, two.Team))
+		})
+		out = append(out, byFlow[key][0])
+		byFlow[key] = byFlow[key][1:]
+		levels[key] += 1 / que.flow(key).weight
+		if len(byFlow[key]) == 0 {
+			keys = slices.DeleteFunc(keys, func(cnd Flow) bool { return cnd == key })
+		}
+	}
+	return out
+}
+
+// compare orders the requests of one flow.
+func compare(one, two *Item, now time.Time) (res int) {
+	rank := func(itm *Item) (pos int) {
+		if !itm.req.Returned {
+			pos += 2
+		}
+		if itm.Late(now) {
+			pos++
+		}
+		return pos
+	}
+	return cmp.Or(cmp.Compare(rank(one), rank(two)), cmp.Compare(one.number, two.number))
+}
