--- a/internal/edge/front/dispatch.go
+++ b/internal/edge/front/dispatch.go
@@ -13,6 +13,7 @@
 	"cardamompass/internal/edge/send"
 	"cardamompass/internal/steer/hedge"
 	"cardamompass/internal/steer/place"
+	"cardamompass/internal/steer/wait"
 )
 
 const (
@@ -35,10 +36,14 @@
 	unsent      int // attempts that ended before they reached a target
 	// mayHaveRun is set once a target may have run the request.
 	mayHaveRun bool
-	fallback   *send.Reply // error response of a target, used when no better response comes
-	results    chan *attempt
-	ended      chan struct{} // closed when no more results are received
-	hedging    hedging
+	// returned is set until the request has a place if it counts as that of a caller that was told to return.
+	returned bool
+	// refusal is that of the queue of waiting requests, if it refused the request.
+	refusal  *wait.Refusal
+	fallback *send.Reply // error response of a target, used when no better response comes
+	results  chan *attempt
+	ended    chan struct{} // closed when no more results are received
+	hedging  hedging
 }
 
 // noTargetError reports that no target can be used now.
@@ -141,29 +146,26 @@
 		return nil, err
 	}
 	frt := dsp.exc.frt
-	now := frt.cfg.Clock.Now()
-	chc, ok := frt.cfg.Balancer.Choose(place.Query{
-		Service:      dsp.exc.service,
-		AffinityHash: dsp.affinityHash,
-		Route:        dsp.exc.route,
-		Team:         dsp.exc.team,
-		Tried:        dsp.tried,
-		MaxLoad:      maxLoad(dsp.exc.vew.Table, dsp.exc.priority()),
-		Hedge:        second,
-		First:        dsp.firstAttempt(),
-		Now:          now,
-	})
-	if !ok {
-		dsp.noteNoTarget(second, now)
-		return nil, &noTargetError{
-			service: dsp.exc.service,
-			choice:  chc,
+	waiting := !second && frt.waits.active()
+	chc, now, err := dsp.choose(ctx, second, waiting)
+	if err != nil {
+		return nil, err
+	}
+	if waiting {
+		if err = dsp.exc.checkAgain(); err != nil { // the key may have been revoked during the wait
+			frt.waits.giveBack(dsp, chc)
+			return nil, err
 		}
 	}
 	if (second || dsp.sent > 0) && !dsp.takeExtra(second, now) {
+		if waiting {
+			frt.waits.giveBack(dsp, chc)
+		}
 		return nil, errors.New("retry budget exhausted")
 	}
-	frt.cfg.Balancer.RecordSent(chc.Instance.ID, now)
+	if !waiting {
+		frt.cfg.Balancer.RecordSent(chc.Instance.ID, now)
+	}
 	dsp.tried = append(dsp.tried, chc.Instance.ID)
 	sctx, cancel := context.WithDeadline(ctx, dsp.msg.Deadline)
 	atm = &attempt{
@@ -191,6 +193,23 @@
 	return atm, nil
 }
 
+// choose returns a target for the request and the time of the choice. If waiting is set, it may wait for one, and the place there is
+// recorded as taken.
+func (dsp *dispatch) choose(ctx context.Context, second, waiting bool) (chc place.Choice, now time.Time, err error) {
+	frt := dsp.exc.frt
+	if waiting {
+		chc, err = frt.waits.choose(ctx, dsp)
+		return chc, frt.cfg.Clock.Now(), err
+	}
+	now = frt.cfg.Clock.Now()
+	chc, ok := frt.cfg.Balancer.Choose(dsp.query(second, now))
+	if !ok {
+		dsp.noteNoTarget(second, now)
+		return chc, now, dsp.noTarget(chc)
+	}
+	return chc, now, nil
+}
+
 // handleResult processes the end of an attempt and reports whether its response goes to the caller.
 func (dsp *dispatch) handleResult(atm *attempt) (done bool) {
 	var fai *send.Failure
@@ -287,6 +306,7 @@
 	if out.Load != nil {
 		frt.cfg.OnLoad(out.Instance, *out.Load)
 	}
+	frt.waits.recordEnd(atm.chc.Instance.Service, out.Result)
 	frt.reportNews(atm.chc.Instance, inf, news)
 	frt.met.observeAttempt(out.Result)
 }
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -45,6 +45,8 @@
 	// steering is what the front reads; the zero value is the default.
 	steering atomic.Pointer[steer.Settings]
 	sender   *send.Sender
+	waiting  atomic.Bool   // whether requests may wait for room
+	room     chan struct{} // see front.Config
 }
 
 // logBuffer holds the lines of a log. It is safe for concurrent use.
@@ -95,6 +97,8 @@
 	away.HomeRegions = []cardamompass.Region{"x"}
 	patient := route("/patient/", false, one)
 	patient.Timeout = 10 * time.Second
+	waits := route("/wait/", true, one)
+	waits.Timeout = 10 * time.Second
 	return &cardamompass.RoutingTable{
 		Version: 1,
 		Routes: []cardamompass.Route{
@@ -107,6 +111,7 @@
 			late,
 			away,
 			patient,
+			waits,
 		},
 		Limits: cardamompass.CallerLimits{
 			MaxBodyBytes: maxBody,
@@ -120,6 +125,7 @@
 		t:        t,
 		balancer: place.New(place.Config{Self: "vm-1", Region: "r"}),
 		bodies:   buffer.New(buffer.Config{Limit: bodyMemory}),
+		room:     make(chan struct{}, 1),
 	}
 	lgr, _, err := logkv.New(logkv.Config{
 		Writer:           &fxt.logs,
@@ -154,6 +160,8 @@
 		OnCrash:  fxt.crashed,
 		Dial:     send.Dialer(time.Second),
 		Bodies:   fxt.bodies,
+		Waiting:  fxt.waiting.Load,
+		Room:     fxt.room,
 	})
 	fxt.front = frt
 	fxt.server = httptest.NewServer(frt)
--- a/internal/edge/front/metric.go
+++ b/internal/edge/front/metric.go
@@ -20,15 +20,17 @@
 	backoffs tally.Counter
 	// hedgeTime is the time in milliseconds for which second attempts ran beside first ones.
 	hedgeTime tally.Counter
+	waitMetrics
 }
 
 func newMetrics(scp tally.Scope) (met metrics) {
 	return metrics{
-		scope:     scp,
-		refused:   scp.Counter("refused-early"),
-		leaving:   scp.Counter("targets-leaving"),
-		backoffs:  scp.Counter("target-backoffs"),
-		hedgeTime: scp.Counter("hedge-milliseconds"),
+		scope:       scp,
+		refused:     scp.Counter("refused-early"),
+		leaving:     scp.Counter("targets-leaving"),
+		backoffs:    scp.Counter("target-backoffs"),
+		hedgeTime:   scp.Counter("hedge-milliseconds"),
+		waitMetrics: newWaitMetrics(scp),
 	}
 }
 
--- a/internal/edge/front/policy.go
+++ b/internal/edge/front/policy.go
@@ -72,6 +72,9 @@
 
 // retryAfter returns the time after which the caller of a request that has not run is told to retry.
 func (dsp *dispatch) retryAfter(err error) (dur time.Duration) {
+	if dsp.refusal != nil {
+		return dsp.refusal.RetryAfter
+	}
 	var ntg *noTargetError
 	if errors.As(err, &ntg) {
 		return RetryAfter(ntg.choice.Wait, rand.Float64())
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -83,6 +83,7 @@
 	balancer  *place.Balancer
 	sender    *send.Sender
 	front     *front.Front
+	room      chan struct{} // of capacity 1; see announceRoom
 	intake    *intake.Intake
 	// requestBodies and responseBodies are the memory of bodies.
 	requestBodies  *buffer.Pool
@@ -108,6 +109,7 @@
 			Limits: callerLimits(nil),
 			Log:    cfg.Log,
 		}),
+		room: make(chan struct{}, 1),
 		self: cardamompass.VM{
 			ID:            set.ID,
 			Incarnation:   cfg.Incarnation,
@@ -215,10 +217,18 @@
 			OnCrash: reports.crashed,
 			Dial:    send.Dialer(targetAckTimeout),
 			Bodies:  nod.requestBodies,
+			Room:    nod.room,
+			Waiting: nod.mayWait,
 		})
 	})
 }
 
+// mayWait reports whether requests for which no target has room may wait. Only teams compete for room by priority and share.
+func (nod *Node) mayWait() (ok bool) {
+	tbl := nod.follower.View().Table
+	return tbl != nil && tbl.HasTeams()
+}
+
 // startExchanger starts the exchange of load reports with the other VMs.
 func (nod *Node) startExchanger() (err error) {
 	cst, stop, err := cast.New(cast.Config{
@@ -265,6 +275,15 @@
 	for _, rpt := range reports {
 		nod.balancer.RecordPeerLoad(rpt.Instance, rpt.Load, rpt.Age, now)
 	}
+	nod.announceRoom()
+}
+
+// announceRoom makes the requests that wait for room be tried again.
+func (nod *Node) announceRoom() {
+	select {
+	case nod.room <- struct{}{}:
+	default: // an earlier announcement is pending
+	}
 }
 
 func (nod *Node) recordDepartures(departures []cast.Departure) {
@@ -308,6 +327,7 @@
 func (nod *Node) viewChanged(_, next *view.View) {
 	nod.balancer.Sync(next, nod.cfg.Clock.Now())
 	nod.intake.SetLimits(callerLimits(next.Table))
+	nod.announceRoom()
 }
 
 // pruneIdle closes idle connections that have expired or whose targets are leaving or removed.
--- a/internal/steer/hedge/decide.go
+++ b/internal/steer/hedge/decide.go
@@ -15,8 +15,8 @@
 	// latencyFactor is the expected latency of a hedge relative to the median. A hedge that starts that long before the objective can
 	// still be answered within it.
 	latencyFactor = 1.2
-	// callerTransferTime is the time that a response takes from this VM to the caller.
-	callerTransferTime = 15 * time.Millisecond
+	// CallerTransferTime is the time that a response takes from this VM to the caller.
+	CallerTransferTime = 15 * time.Millisecond
 	// minDelayFactor is the shortest delay relative to the median latency. A shorter delay would hedge requests that take their usual
 	// time.
 	minDelayFactor = 1.25
@@ -105,7 +105,7 @@
 	if inp.Percent > 0 && inp.Estimate.Quantile > 0 {
 		return max(inp.Estimate.Quantile, time.Duration(minDelayFactor*float64(inp.Estimate.Usual)))
 	}
-	latest := inp.Objective - time.Duration(latencyFactor*float64(inp.Median)) - callerTransferTime
+	latest := inp.Objective - time.Duration(latencyFactor*float64(inp.Median)) - CallerTransferTime
 	return max(latest, time.Duration(minDelayFactor*float64(inp.Median)))
 }
 
