edge/pipe: callers that pipeline are served beside net/http

Cause: net/http handles pipelined requests one after the other, so that a fast request waits for a slow one before it.

Change: package pipe wraps the handler of the caller listener. A connection on which bytes of a further request arrive before the response of an idempotent request begins is hijacked and served by a loop that reads ahead, dispatches idempotent requests without body at once, runs all others alone and answers in order. intake reports the bytes, front states which requests may run beside others, the node shuts the loops down.

--- a/internal/edge/buffer/buffer.go
+++ b/internal/edge/buffer/buffer.go
@@ -120,6 +120,10 @@
 	}
 }
 
+// Reserve makes the buffer hold size bytes for a body that the caller stores itself. The error is a FullError. It is used instead of
+// ReadAll, and not concurrently with Release.
+func (buf *Buffer) Reserve(size int64) (err error) { return buf.grow(size) }
+
 // grow makes the buffer hold size bytes.
 func (buf *Buffer) grow(size int64) (err error) {
 	more := size - buf.size
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -114,6 +114,9 @@
 	frt.active.Add(1)
 	defer frt.active.Add(-1)
 	now := frt.cfg.Clock.Now()
+	if early, ok := wrt.(readTimer); ok {
+		now = early.ReadTime()
+	}
 	exc := &exchange{
 		frt:   frt,
 		wrt:   wrt,
--- a/internal/edge/intake/conn.go
+++ b/internal/edge/intake/conn.go
@@ -43,6 +43,11 @@
 	headerBytes int       // read in the phase inHeader
 	deadline    time.Time // set by the server
 	applied     time.Time // the read deadline of the TCP connection
+	scan        headerScan
+	ahead       bool    // bytes of a further request have been read
+	watcher     Watcher // nil if there is none
+	unanswered  bool    // a request is handled and its response has not begun
+	taken       bool    // no longer served by net/http
 }
 
 // begin starts a phase.
@@ -50,6 +55,7 @@
 	con.mu.Lock()
 	defer con.mu.Unlock()
 	con.pha, con.since, con.headerBytes = pha, time.Now(), 0
+	con.unanswered = pha == inRequest
 	con.applyDeadline(con.itk.Limits())
 }
 
@@ -101,33 +107,47 @@
 // Read implements net.Conn. A header that is too long is refused; the server sees the end of the connection.
 func (con *conn) Read(buf []byte) (num int, err error) {
 	num, err = con.TCPConn.Read(buf)
-	if size, limit := con.received(num); limit > 0 && size > limit {
+	size, limit, wat := con.received(buf[:num], len(buf) == 1)
+	if wat != nil {
+		wat.BytesAhead()
+	}
+	switch {
+	case limit <= 0 || size <= limit:
+		return num, err
+	case con.taken:
+		return 0, &HeaderTooLongError{
+			Size:  size,
+			Limit: limit,
+		}
+	default:
 		con.refuse(size, limit)
 		return 0, io.EOF
 	}
-	return num, err
 }
 
-// received counts bytes that were read. It returns the size of the header so far and its limit; 0 if there is none.
-func (con *conn) received(num int) (size, limit int) {
-	if num <= 0 {
-		return 0, 0
+// received counts bytes that were read, by a read of a single byte or of more. It returns the size of the header so far and its limit, 0
+// if there is none, and the watcher that is to be told of a further request.
+func (con *conn) received(data []byte, single bool) (size, limit int, wat Watcher) {
+	num := len(data)
+	if num == 0 {
+		return 0, 0, nil
 	}
 	lim := con.itk.Limits()
 	con.mu.Lock()
 	defer con.mu.Unlock()
 	switch con.pha {
 	case idle:
-		con.pha, con.since, con.headerBytes = inHeader, time.Now(), num
+		con.pha, con.since, con.headerBytes, con.scan = inHeader, time.Now(), num, headerScan{}
 		con.applyDeadline(lim)
 	case inHeader:
 		con.headerBytes += num
 	case inRequest:
 	}
+	wat = con.noteAhead(data, single)
 	if con.pha != inHeader || lim.MaxHeaderBytes <= 0 {
-		return 0, 0
+		return 0, 0, wat
 	}
-	return con.headerBytes, lim.MaxHeaderBytes + headerSlack
+	return con.headerBytes, lim.MaxHeaderBytes + headerSlack, wat
 }
 
 // refuse responds with status 431 and ends the connection. Errors mean that the caller has disconnected.
--- a/internal/edge/intake/intake.go
+++ b/internal/edge/intake/intake.go
@@ -108,10 +108,15 @@
 // handler ends the header of each request. Requests that follow another one in the same read are not reported to connState.
 func handler(next http.Handler) (hnd http.Handler) {
 	return http.HandlerFunc(func(wrt http.ResponseWriter, req *http.Request) {
-		if con, ok := req.Context().Value(connKey{}).(*conn); ok {
-			con.begin(inRequest)
+		con, ok := req.Context().Value(connKey{}).(*conn)
+		hasBody := req.Body != http.NoBody
+		if ok {
+			con.beginRequest(hasBody)
 		}
 		next.ServeHTTP(wrt, req)
+		if ok && hasBody {
+			con.endBody(req.ContentLength)
+		}
 	})
 }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -21,6 +21,7 @@
 	"cardamompass/internal/edge/direct"
 	"cardamompass/internal/edge/front"
 	"cardamompass/internal/edge/intake"
+	"cardamompass/internal/edge/pipe"
 	"cardamompass/internal/edge/send"
 	"cardamompass/internal/fleet/cast"
 	"cardamompass/internal/fleet/view"
@@ -48,6 +49,8 @@
 	// bodyMemoryFraction is the fraction of the VM's memory that the bodies of requests may use, and those of responses. The rest is
 	// for garbage that is not collected yet, for connections and for the view of the fleet.
 	bodyMemoryFraction = 0.25
+	// heldMemoryFraction is the fraction for responses that wait for those before them or for callers that read slowly.
+	heldMemoryFraction = 0.0625
 )
 
 // Config configures a Node.
@@ -76,6 +79,7 @@
 	balancer  *place.Balancer
 	sender    *send.Sender
 	front     *front.Front
+	pipe      *pipe.Pipe
 	intake    *intake.Intake
 	// requestBodies and responseBodies are the memory of bodies.
 	requestBodies  *buffer.Pool
@@ -201,6 +205,16 @@
 			Bodies:  nod.requestBodies,
 		})
 	})
+	nod.pipe = startComponent(nod, func() (*pipe.Pipe, func()) {
+		return pipe.New(pipe.Config{
+			Handler: nod.front,
+			Beside:  nod.front.Beside,
+			Clock:   cfg.Clock,
+			Log:     cfg.Log,
+			Scope:   scp,
+			Memory:  int64(heldMemoryFraction * float64(cfg.Settings.MemoryBytes)),
+		})
+	})
 }
 
 // startExchanger starts the exchange of load reports with the other VMs.
@@ -308,7 +322,7 @@
 		address string
 		handler http.Handler
 	}{
-		{set.CallerAddress, nod.front},
+		{set.CallerAddress, nod.pipe},
 		{set.LookupAddress, lookupRoutes},
 		{set.ReadyAddress, readyRoutes},
 		{net.JoinHostPort(set.IP, metricsPort), metricRoutes},
@@ -327,9 +341,11 @@
 		return err
 	}
 	srv := &http.Server{
-		Handler:     hnd,
-		ConnContext: front.ConnContext,
-		ErrorLog:    zap.NewStdLog(nod.cfg.Log),
+		Handler: hnd,
+		ConnContext: func(ctx context.Context, con net.Conn) context.Context {
+			return pipe.ConnContext(front.ConnContext(ctx, con), con)
+		},
+		ErrorLog: zap.NewStdLog(nod.cfg.Log),
 	}
 	nod.servers = append(nod.servers, srv)
 	nod.serving.Go(func() {
--- a/internal/edge/node/state.go
+++ b/internal/edge/node/state.go
@@ -28,6 +28,10 @@
 	scp.Gauge("active-requests").Update(float64(nod.front.Active()))
 	scp.Gauge("request-body-bytes").Update(float64(nod.requestBodies.Used()))
 	scp.Gauge("response-body-bytes").Update(float64(nod.responseBodies.Used()))
+	pipes := nod.pipe.Stats()
+	scp.Gauge("pipelined-connections-open").Update(float64(pipes.Connections))
+	scp.Gauge("requests-ahead-now").Update(float64(pipes.Ahead))
+	scp.Gauge("held-response-bytes").Update(float64(pipes.Held))
 	scp.Gauge("log-lines-dropped").Update(float64(nod.cfg.LinesDropped()))
 }
 
--- a/internal/edge/node/stop.go
+++ b/internal/edge/node/stop.go
@@ -62,6 +62,11 @@
 	for _, srv := range nod.servers {
 		all.Go(func() { nod.shutdownServer(ctx, srv) })
 	}
+	all.Go(func() {
+		if err := nod.pipe.Shutdown(ctx); err != nil {
+			nod.cfg.Log.Warn("pipelined connections closed at the end of the grace time", zap.Error(err))
+		}
+	})
 	all.Wait()
 }
 
--- a/internal/edge/sock/sock.go
+++ b/internal/edge/sock/sock.go
@@ -48,3 +48,38 @@
 		return DataPending
 	}
 }
+
+// The states of a TCP connection, as numbered by Linux, in which its peer may still read what is sent and has not ended its own stream.
+const (
+	tcpEstablished = 1
+	tcpFinWait1    = 4
+	tcpFinWait2    = 5
+)
+
+// HungUp reports whether the peer of a TCP connection has closed or reset it, also while bytes that it sent before were not read yet,
+// which Peek reports as DataPending.
+func HungUp(con net.Conn) (ok bool) {
+	sys, ok := con.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return true
+	}
+	info, ierr := 0, error(nil)
+	// The first byte of the structure that TCP_INFO returns is the state of the connection.
+	err = raw.Control(func(fd uintptr) { info, ierr = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO) })
+	switch {
+	case err != nil:
+		return true
+	case ierr != nil:
+		return false
+	}
+	switch info & 0xff {
+	case tcpEstablished, tcpFinWait1, tcpFinWait2:
+		return false
+	default:
+		return true
+	}
+}
