--- a/internal/edge/node/state.go
+++ b/internal/edge/node/state.go
@@ -31,6 +31,10 @@
 	if share, ok := nod.front.HedgeShare(); ok {
 		scp.Gauge("hedge-share").Update(share)
 	}
+	pipes := nod.pipe.Stats()
+	scp.Gauge("pipelined-connections-open").Update(float64(pipes.Connections))
+	scp.Gauge("requests-ahead-now").Update(float64(pipes.Ahead))
+	scp.Gauge("held-response-bytes").Update(float64(pipes.Held))
 	scp.Gauge("log-lines-dropped").Update(float64(nod.cfg.LinesDropped()))
 }
 
