--- a/internal/edge/direct/direct.go
+++ b/internal/edge/direct/direct.go
@@ -87,6 +87,14 @@
 
 // Addresses returns the addresses of the VMs to which the caller of a look-up should connect, the nearest first.
 func Addresses(vms []cardamompass.VM, lkp cardamompass.Lookup) (addresses []string) {
+	for _, vmc := range Named(vms, lkp) {
+		addresses = append(addresses, vmc.CallerAddress)
+	}
+	return addresses
+}
+
+// Named returns the VMs to which the caller of a look-up should connect, the nearest first.
+func Named(vms []cardamompass.VM, lkp cardamompass.Lookup) (named []cardamompass.VM) {
 	near := slices.DeleteFunc(slices.Clone(vms), func(vmc cardamompass.VM) bool { return vmc.Region != lkp.Region })
 	if len(near) == 0 {
 		near = slices.Clone(vms)
@@ -95,10 +103,7 @@
 	slices.SortStableFunc(near, func(one, two cardamompass.VM) int {
 		return cmp.Or(cmp.Compare(distance(one, lkp), distance(two, lkp)), cmp.Compare(one.ID, two.ID))
 	})
-	for _, vmc := range near[:min(len(near), maxAddresses)] {
-		addresses = append(addresses, vmc.CallerAddress)
-	}
-	return addresses
+	return near[:min(len(near), maxAddresses)]
 }
 
 // maxTotalCapacity returns the VMs that together have the greatest capacity when each gets the same part of the requests, which is
--- a/routing.go
+++ b/routing.go
@@ -18,6 +18,8 @@
 	Services map[ServiceName]ServicePolicy
 	// Limits bounds what callers may send.
 	Limits CallerLimits
+	// Teams maps the names of teams to teams; empty if callers need no key.
+	Teams map[TeamName]*Team
 }
 
 // Route configures how requests for one host and path prefix are served.
--- a/vmsettings.go
+++ b/vmsettings.go
@@ -42,6 +42,11 @@
 	// MaxRegionShift is the fraction of a region's requests that may change the serving region from one window of 2 s to the
 	// next.
 	MaxRegionShift float64
+	// QuotaWindow, QuotaOverage and QuotaSlack bound the requests of a team that all VMs send in any QuotaWindow: (rate * window + burst) *
+	// (1 + QuotaOverage) + QuotaSlack. QuotaWindow is 0 if it is not set.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
 }
 
 // WithBounds returns the settings with the bounds of others: the times, budgets and rates that can change while the VM runs. Its identity,
@@ -56,6 +61,9 @@
 	set.ColdSlack = oth.ColdSlack
 	set.MaxLookupTTL = oth.MaxLookupTTL
 	set.MaxRegionShift = oth.MaxRegionShift
+	set.QuotaWindow = oth.QuotaWindow
+	set.QuotaOverage = oth.QuotaOverage
+	set.QuotaSlack = oth.QuotaSlack
 	return set
 }
 
