cast, tokens, node: tokens of teams move between VMs

Asks and gifts use at most 4 KiB/s, and load reports what they leave of the 8 KiB/s that all datagrams had before. Front gets the quotas in its configuration and does not use them yet.

A bucket of a team that is added while the process runs starts full; it was empty because the storage was set after the tokens (TestRefusalsAreLoggedOnce).

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -63,6 +63,8 @@
 	Dial func(ctx context.Context, network, address string) (con net.Conn, err error)
 	// Bodies is the memory for the bodies of requests. Optional.
 	Bodies *buffer.Pool
+	// Quota limits the requests of teams. Optional.
+	Quota cardamompass.Quota
 }
 
 // Front is the HTTP handler of callers' requests. It is safe for concurrent use.
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -22,6 +22,7 @@
 	"cardamompass/internal/edge/front"
 	"cardamompass/internal/edge/intake"
 	"cardamompass/internal/edge/send"
+	"cardamompass/internal/edge/tokens"
 	"cardamompass/internal/fleet/cast"
 	"cardamompass/internal/fleet/view"
 	"cardamompass/internal/obs/metric"
@@ -75,6 +76,7 @@
 	exchanger *cast.Exchanger
 	balancer  *place.Balancer
 	sender    *send.Sender
+	tokens    *tokens.Bank
 	front     *front.Front
 	intake    *intake.Intake
 	// requestBodies and responseBodies are the memory of bodies.
@@ -131,6 +133,7 @@
 			Bodies:    nod.responseBodies,
 		})
 	})
+	nod.tokens = nod.newTokens(scp)
 	nod.follower = startComponent(nod, func() (*view.Follower, func()) {
 		return view.New(view.Config{
 			Registry: cfg.Registry,
@@ -153,6 +156,7 @@
 	}
 	nod.runEvery(pruneInterval, nod.pruneIdle)
 	nod.runEvery(vmCountInterval, func() { nod.balancer.SetRunningVMs(len(nod.exchanger.Running())+1, cfg.Clock.Now()) })
+	nod.runEvery(tokens.TickInterval, nod.tokens.Tick)
 	nod.runEvery(gaugeInterval, func() { nod.updateGauges(scp) })
 	return nod, nod.close, nil
 }
@@ -165,6 +169,7 @@
 	set := nod.Settings().WithBounds(changed)
 	nod.settings.Store(&set)
 	nod.balancer.SetBounds(placeBounds(set))
+	nod.tokens.SetBounds(quotaBounds(set))
 }
 
 func placeBounds(set cardamompass.VMSettings) (bnd place.Bounds) {
@@ -199,6 +204,7 @@
 			OnCrash: reports.crashed,
 			Dial:    send.Dialer(targetAckTimeout),
 			Bodies:  nod.requestBodies,
+			Quota:   nod.tokens,
 		})
 	})
 }
@@ -210,6 +216,8 @@
 		ListedVMs:    func() []cardamompass.VM { return nod.follower.View().VMs() },
 		OnReports:    nod.recordReports,
 		OnDepartures: nod.recordDepartures,
+		OnAsks:       nod.tokens.HandleAsks,
+		OnGifts:      nod.tokens.HandleGifts,
 		Clock:        nod.cfg.Clock,
 		Log:          nod.cfg.Log,
 	})
@@ -217,6 +225,7 @@
 		return err
 	}
 	nod.exchanger = cst
+	nod.tokens.Connect(cst)
 	nod.cleanups = append(nod.cleanups, stop)
 	return nil
 }
@@ -265,10 +274,11 @@
 	})
 }
 
-// viewChanged applies a new view to the balancer and its routing table to the connections of callers.
+// viewChanged applies a new view to the balancer and its routing table to the connections of callers and the quotas.
 func (nod *Node) viewChanged(_, next *view.View) {
 	nod.balancer.Sync(next, nod.cfg.Clock.Now())
 	nod.intake.SetLimits(callerLimits(next.Table))
+	nod.tokens.SetTable(next.Table)
 }
 
 // pruneIdle closes idle connections that have expired or whose targets are leaving or removed.
--- a/internal/edge/node/state.go
+++ b/internal/edge/node/state.go
@@ -10,6 +10,7 @@
 
 	"cardamompass"
 	"cardamompass/internal/steer/place"
+	"cardamompass/internal/steer/quota"
 )
 
 // gaugeInterval is the interval at which the gauges are updated.
@@ -41,6 +42,7 @@
 	Active       int                 `json:"active-requests"`
 	Running      []cardamompass.VMID `json:"other-vms"`
 	Balancer     place.Dump          `json:"board"`
+	Quota        *quota.Dump         `json:"quota,omitempty"`
 }
 
 // serveState writes the state of the process as JSON.
@@ -53,6 +55,7 @@
 		StoreAge: nod.follower.StoreAge().Seconds(),
 		Active:   nod.front.Active(),
 		Balancer: nod.balancer.Dump(nod.cfg.Clock.Now()),
+		Quota:    nod.tokens.Dump(),
 	}
 	if vew.Table != nil {
 		sta.TableVersion = vew.Table.Version
--- /dev/null
+++ b/internal/edge/tokens/tokens_test.go
@@ -0,0 +1,187 @@
+package tokens_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"cardamompass"
+	"cardamompass/internal/edge/tokens"
+	"cardamompass/internal/steer/quota"
+)
+
+// clock is a clock that tests set.
+type clock struct {
+	cardamompass.SystemClock
+
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (clk *clock) Now() (now time.Time) {
+	clk.mu.Lock()
+	defer clk.mu.Unlock()
+	return clk.now
+}
+
+func (clk *clock) advance(ela time.Duration) {
+	clk.mu.Lock()
+	defer clk.mu.Unlock()
+	clk.now = clk.now.Add(ela)
+}
+
+// fleet is an Exchange of Banks without a network. full makes it refuse to send gifts.
+type fleet struct {
+	self  cardamompass.VMID
+	banks map[cardamompass.VMID]*tokens.Bank
+	sent  *int
+	full  *bool
+}
+
+func (flt fleet) SendAsks(to cardamompass.VMID, asks quota.Asks) (ok bool) {
+	*flt.sent++
+	flt.banks[to].HandleAsks(flt.self, asks)
+	return true
+}
+
+func (flt fleet) SendGifts(to cardamompass.VMID, gfs quota.Gifts) (ok bool) {
+	gfs.From = flt.self
+	flt.banks[to].HandleGifts(gfs)
+	return true
+}
+
+func (flt fleet) MaySendGifts(cardamompass.VMID, int) (ok bool) { return !*flt.full }
+
+// newFleet returns three connected Banks, the number of asks sent and a switch for gifts.
+func newFleet(clk *clock, log *zap.Logger) (flt fleet) {
+	flt = fleet{
+		banks: make(map[cardamompass.VMID]*tokens.Bank),
+		sent:  new(int),
+		full:  new(bool),
+	}
+	var vms []cardamompass.VM
+	for _, id := range []string{"a", "b", "c"} {
+		vms = append(vms, cardamompass.VM{
+			ID:            cardamompass.VMID(id),
+			Incarnation:   cardamompass.Incarnation(id[0]) << 32,
+			Region:        "r",
+			FailureDomain: "d",
+		})
+	}
+	for num, vmc := range vms {
+		others := append(append([]cardamompass.VM(nil), vms[:num]...), vms[num+1:]...)
+		bnk := tokens.New(tokens.Config{
+			Self:     vmc,
+			Regions:  map[cardamompass.FailureDomain]cardamompass.Region{"d": "r"},
+			OtherVMs: func() []cardamompass.VM { return append([]cardamompass.VM(nil), others...) },
+			StoreAge: func() time.Duration { return 0 },
+			Clock:    clk,
+			Log:      log,
+			Scope:    tally.NoopScope,
+		})
+		peers := flt
+		peers.self = vmc.ID
+		bnk.Connect(peers)
+		flt.banks[vmc.ID] = bnk
+	}
+	return flt
+}
+
+func (flt fleet) setTeams(version uint64, teams ...*cardamompass.Team) {
+	tbl := &cardamompass.RoutingTable{
+		Version: version,
+		Teams:   make(map[cardamompass.TeamName]*cardamompass.Team),
+	}
+	for _, tea := range teams {
+		tbl.Teams[tea.Name] = tea
+	}
+	for _, bnk := range flt.banks {
+		bnk.SetTable(tbl)
+	}
+}
+
+// run lets time pass and takes tokens at one VM at each tick. It returns how many it got.
+func (flt fleet) run(clk *clock, ticks, takes int) (taken int) {
+	for range ticks {
+		clk.advance(tokens.TickInterval)
+		for _, bnk := range flt.banks {
+			bnk.Tick()
+		}
+		for range takes {
+			if ok, _ := flt.banks["a"].Take("t"); ok {
+				taken++
+			}
+		}
+	}
+	return taken
+}
+
+// Guards against a team whose callers use one VM and get only that VM's share, and against more than its rate.
+func TestTokensReachTheVMThatNeedsThem(t *testing.T) {
+	clk := &clock{
+		now: time.Unix(1e9, 0),
+	}
+	flt := newFleet(clk, zap.NewNop())
+	flt.setTeams(1, &cardamompass.Team{Name: "t", Rate: 100, Burst: 100})
+	flt.run(clk, 100, 1)
+	if taken := flt.run(clk, 100, 6); taken < 590 {
+		t.Fatalf("%d of 600 requests at one of three VMs, at 60%% of the rate", taken)
+	}
+	flt.run(clk, 100, 100)
+	if taken := flt.run(clk, 50, 100); taken > 570 {
+		t.Fatalf("%d requests within 5 s at a rate of 100", taken)
+	}
+}
+
+// Guards against traffic, or refusals, in a deployment in which no team has a limit.
+func TestNothingIsSentWithoutLimits(t *testing.T) {
+	clk := &clock{
+		now: time.Unix(1e9, 0),
+	}
+	flt := newFleet(clk, zap.NewNop())
+	flt.setTeams(1, &cardamompass.Team{Name: "t"})
+	if taken := flt.run(clk, 100, 100); taken != 100*100 {
+		t.Fatalf("%d of 10000 requests of a team without a limit", taken)
+	}
+	if *flt.sent > 0 || flt.banks["a"].Dump() != nil {
+		t.Fatalf("%d datagrams, dump %+v", *flt.sent, flt.banks["a"].Dump())
+	}
+}
+
+// Guards against log lines for each refused request, and against a first limit that finds VMs that do not know their shares.
+func TestRefusalsAreLoggedOnce(t *testing.T) {
+	clk := &clock{
+		now: time.Unix(1e9, 0),
+	}
+	cor, logs := observer.New(zap.InfoLevel)
+	flt := newFleet(clk, zap.New(cor))
+	flt.setTeams(1)
+	flt.run(clk, 100, 0)
+	flt.setTeams(2, &cardamompass.Team{Name: "t", Rate: 10, Burst: 10})
+	if taken := flt.run(clk, 1, 1); taken != 1 {
+		t.Fatal("the first request after a limit was set is refused")
+	}
+	flt.run(clk, 20, 100)
+	flt.run(clk, 100, 0)
+	if logs.FilterMessage("quota refusals begin").Len() != 1 || logs.FilterMessage("quota refusals end").Len() != 1 {
+		t.Fatalf("log %+v", logs.All())
+	}
+}
+
+// Guards against tokens that are subtracted when they can't be sent.
+func TestGivesNothingThatCannotBeSent(t *testing.T) {
+	clk := &clock{
+		now: time.Unix(1e9, 0),
+	}
+	flt := newFleet(clk, zap.NewNop())
+	flt.setTeams(1, &cardamompass.Team{Name: "t", Rate: 100, Burst: 100})
+	*flt.full = true
+	flt.run(clk, 100, 20)
+	if dmp := flt.banks["b"].Dump(); dmp.Teams[0].Given > 0 {
+		t.Fatalf("dump %+v", dmp)
+	}
+}
--- a/internal/fleet/cast/cast.go
+++ b/internal/fleet/cast/cast.go
@@ -3,8 +3,10 @@
 //
 // Each VM sends a datagram at a short interval to the other VMs, or to a bounded number of them in a large fleet. A lost datagram is
 // not sent again: the next one has newer values. Datagrams are neither encrypted nor authenticated; the package relies on a network
-// in which only the entry VMs reach the port. Their content improves or worsens the choice of a target, and never decides whether a
-// request may run.
+// in which only the entry VMs reach the port. The content of load reports improves or worsens the choice of a target, and never decides
+// whether a request may run.
+//
+// Datagrams of another kind carry asks for tokens of the quotas of teams, and gifts of tokens; see package quota.
 package cast
 
 import (
@@ -22,6 +24,7 @@
 	"go.uber.org/zap"
 
 	"cardamompass"
+	"cardamompass/internal/steer/quota"
 )
 
 const (
@@ -33,7 +36,7 @@
 	peerTimeout = 2 * time.Second
 	// maxRecipients bounds the number of VMs that a datagram is sent to, so that the traffic of a VM does not grow with the fleet.
 	maxRecipients = 12
-	// maxBytesPerSecond bounds what a VM sends; larger datagrams are sent to fewer VMs. At the fleet size that the system is designed
+	// maxBytesPerSecond bounds what a VM sends, including asks and gifts; larger datagrams are sent to fewer VMs. At the fleet size that the system is designed
 	// for, 10 KB/s are allowed for control traffic.
 	maxBytesPerSecond = 8 << 10
 	// maxReports bounds the number of reports in a datagram, which must fit into one packet.
@@ -99,8 +102,11 @@
 	OnReports func(reports []Report)
 	// OnDepartures is called with the departures of each datagram that has any. It must not block. Optional.
 	OnDepartures func(departures []Departure)
-	Clock        cardamompass.Clock
-	Log          *zap.Logger
+	// OnAsks is called with asks of another VM for tokens, OnGifts with gifts of tokens. They must not block. Optional.
+	OnAsks  func(from cardamompass.VMID, asks quota.Asks)
+	OnGifts func(gfs quota.Gifts)
+	Clock   cardamompass.Clock
+	Log     *zap.Logger
 }
 
 // Exchanger exchanges datagrams with the other VMs. It is safe for concurrent use.
@@ -115,6 +121,7 @@
 	lastSeen   map[cardamompass.VMID]sighting
 	stopping   bool
 	sentAt     time.Time
+	tokens     tokenMeter
 }
 
 type timedLoad struct {
@@ -148,6 +155,12 @@
 	if exc.cfg.OnDepartures == nil {
 		exc.cfg.OnDepartures = func([]Departure) {}
 	}
+	if exc.cfg.OnAsks == nil {
+		exc.cfg.OnAsks = func(cardamompass.VMID, quota.Asks) {}
+	}
+	if exc.cfg.OnGifts == nil {
+		exc.cfg.OnGifts = func(quota.Gifts) {}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(exc.receiveLoop)
@@ -243,7 +256,7 @@
 	}
 	data := buf.Bytes()
 	vms := exc.recipients()
-	maxVMs := max(1, int(maxBytesPerSecond*Interval.Seconds())/len(data))
+	maxVMs := max(1, int(exc.reportBytes(exc.cfg.Clock.Now())*Interval.Seconds())/len(data))
 	for _, vmc := range vms[:min(len(vms), maxVMs)] {
 		adr, err := net.ResolveUDPAddr("udp4", vmc.PeerAddress)
 		if err != nil {
--- a/internal/fleet/cast/receive.go
+++ b/internal/fleet/cast/receive.go
@@ -1,6 +1,7 @@
 package cast
 
 import (
+	"bytes"
 	"net"
 	"time"
 
@@ -19,18 +20,28 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		var dgr datagram
 		if err == nil {
-			err = msgpack.Unmarshal(buf[:num], &dgr)
+			err = exc.receive(buf[:num])
 		}
 		if err != nil {
 			exc.cfg.Log.Warn("datagram not decoded", zap.Error(err))
-			continue
 		}
-		exc.handle(dgr)
 	}
 }
 
+// receive handles a datagram. Its kind is the length of its array.
+func (exc *Exchanger) receive(data []byte) (err error) {
+	if fields, err := msgpack.NewDecoder(bytes.NewReader(data)).DecodeArrayLen(); err == nil && fields == tokenFields {
+		return exc.handleTokens(data)
+	}
+	var dgr datagram
+	if err = msgpack.Unmarshal(data, &dgr); err != nil {
+		return err
+	}
+	exc.handle(dgr)
+	return nil
+}
+
 func (exc *Exchanger) handle(dgr datagram) {
 	vmc := cardamompass.VM{
 		ID:            cardamompass.VMID(dgr.VM),
--- a/internal/steer/quota/bucket.go
+++ b/internal/steer/quota/bucket.go
@@ -131,8 +131,9 @@
 	counts   Counts
 }
 
-func newBucket(now time.Time) (bkt *bucket) {
+func newBucket(lim limits, now time.Time) (bkt *bucket) {
 	return &bucket{
+		lim:      lim,
 		filledAt: now,
 		demand: meter{
 			decay: demandTime,
--- a/internal/steer/quota/ledger.go
+++ b/internal/steer/quota/ledger.go
@@ -190,7 +190,7 @@
 		delete(ldg.removed, name)
 	}
 	if bkt == nil {
-		bkt = newBucket(now)
+		bkt = newBucket(lim, now)
 		if !first {
 			bkt.tokens = lim.storage * ldg.share
 		}
@@ -250,6 +250,9 @@
 	}
 }
 
+// Share returns the fraction of the tokens of all teams that this VM mints and stores.
+func (ldg *Ledger) Share() (fraction float64) { return ldg.share }
+
 // Take takes a token of a team. If there is none, retryAfter is the time after which the caller should try again. A team without a limit
 // always gets a token. Before the first call of SetTeams no team gets one.
 func (ldg *Ledger) Take(name cardamompass.TeamName, now time.Time) (ok bool, retryAfter time.Duration) {
--- a/team.go
+++ b/team.go
@@ -1,5 +1,7 @@
 package cardamompass
 
+import "time"
+
 // TeamName is the name of a team.
 type TeamName string
 
@@ -18,3 +20,13 @@
 
 // Limited reports whether the team has a quota.
 func (tea *Team) Limited() (ok bool) { return tea.Rate > 0 || tea.Burst > 0 }
+
+// Quota limits the requests of teams over all entry VMs. Implementations are safe for concurrent use.
+type Quota interface {
+	// Take takes the token of a request of a team, directly before the request is sent to a target. If there is none, the request must be
+	// refused, and retryAfter is the time after which the caller should try again. A team without a limit always gets a token.
+	Take(team TeamName) (ok bool, retryAfter time.Duration)
+	// Return returns the token of a request that certainly did not reach a target. It is called within 300 ms of Take; a later call would
+	// allow more requests in a window than the bound.
+	Return(team TeamName)
+}
