--- a/internal/edge/direct/weight_test.go
+++ b/internal/edge/direct/weight_test.go
@@ -1,6 +1,7 @@
 package direct_test
 
 import (
+	"fmt"
 	"testing"
 
 	"cardamompass"
@@ -30,3 +31,17 @@
 		}
 	}
 }
+
+// BenchmarkWeights measures the weights of a fleet of the largest size.
+func BenchmarkWeights(b *testing.B) {
+	var vms []cardamompass.VM
+	for num := range 430 {
+		dom := string(rune('a' + num%11))
+		vmc := vm(fmt.Sprint("vm-", num), string(rune('a'+num%11%4)), dom)
+		vmc.Capacity = float64(100 + 1400*(num%3/2))
+		vms = append(vms, vmc)
+	}
+	for b.Loop() {
+		direct.Weights(vms)
+	}
+}
--- a/internal/steer/quota/ledger.go
+++ b/internal/steer/quota/ledger.go
@@ -274,16 +274,43 @@
 	}
 }
 
+// shortTeam is a team of which tokens are missing.
+type shortTeam struct {
+	id      TeamID
+	bkt     *bucket
+	missing float64
+}
+
 // Asks returns the asks for the teams that are short of tokens, to be sent to Recipients other VMs. It is called every AskInterval.
 func (ldg *Ledger) Asks(now time.Time) (out Asks) {
 	maps.DeleteFunc(ldg.rounds, func(_ uint64, sent time.Time) bool { return now.Sub(sent) > maxLife })
 	maps.DeleteFunc(ldg.applied, func(_ giftKey, at time.Time) bool { return now.Sub(at) > maxLife })
-	type candidate struct {
-		id      TeamID
-		bkt     *bucket
-		missing float64
+	short := ldg.shortTeams(now)
+	if len(short) == 0 {
+		return Asks{}
 	}
-	var short []candidate
+	ldg.round++
+	ldg.rounds[ldg.round] = now
+	out.Round = ldg.round
+	for _, itm := range short[:min(len(short), maxAsks)] {
+		itm.bkt.asked(now)
+		want := itm.missing
+		if want >= largeAsk {
+			want /= 2
+		}
+		out.Asks = append(out.Asks, Ask{
+			Team:   itm.id,
+			Want:   want,
+			Have:   itm.bkt.stock(),
+			Urgent: itm.bkt.urgent(now),
+			Life:   itm.bkt.life(max(ldg.share, ldg.future), now),
+		})
+	}
+	return out
+}
+
+// shortTeams returns the teams to ask for now, those that miss most first.
+func (ldg *Ledger) shortTeams(now time.Time) (short []shortTeam) {
 	for id, bkt := range ldg.byID {
 		if now.Before(bkt.askAt) {
 			continue
@@ -291,38 +318,17 @@
 		bkt.refill(ldg.share, now)
 		want, stock := bkt.wanted(now), bkt.stock()
 		if missing := want - stock; stock < max(fullToken, want*askBelow) && missing > minGift {
-			short = append(short, candidate{
+			short = append(short, shortTeam{
 				id:      id,
 				bkt:     bkt,
 				missing: missing,
 			})
 		}
 	}
-	if len(short) == 0 {
-		return Asks{}
-	}
-	slices.SortFunc(short, func(one, two candidate) int {
+	slices.SortFunc(short, func(one, two shortTeam) int {
 		return cmp.Or(cmp.Compare(two.missing, one.missing), cmp.Compare(one.id, two.id))
 	})
-	ldg.round++
-	ldg.rounds[ldg.round] = now
-	out.Round = ldg.round
-	for _, cnd := range short[:min(len(short), maxAsks)] {
-		cnd.bkt.asked(now)
-		want := cnd.missing
-		if want >= largeAsk {
-			want /= 2
-		}
-		out.Asks = append(out.Asks, Ask{
-			Team: cnd.id,
-			Want: want,
-			Have: cnd.bkt.stock(),
-
-			Urgent: cnd.bkt.urgent(now),
-			Life:   cnd.bkt.life(max(ldg.share, ldg.future), now),
-		})
-	}
-	return out
+	return short
 }
 
 // asked sets the time of the next ask.
