--- a/internal/edge/direct/direct.go
+++ b/internal/edge/direct/direct.go
@@ -91,11 +91,21 @@
 	return vms
 }
 
-// Addresses returns the addresses of the VMs to which the caller of a look-up should connect, the nearest first. homes is called while the
-// caller's region has no VM and returns the regions to which routes of the host are restricted.
+// Addresses returns the addresses of the VMs to which the caller of a look-up should connect, the nearest first; see Named.
 func Addresses(
 	vms []cardamompass.VM, lkp cardamompass.Lookup, homes func(host string) []cardamompass.Region,
 ) (addresses []string) {
+	for _, vmc := range Named(vms, lkp, homes) {
+		addresses = append(addresses, vmc.CallerAddress)
+	}
+	return addresses
+}
+
+// Named returns the VMs to which the caller of a look-up should connect, the nearest first. homes is called while the caller's region has
+// no VM and returns the regions to which routes of the host are restricted.
+func Named(
+	vms []cardamompass.VM, lkp cardamompass.Lookup, homes func(host string) []cardamompass.Region,
+) (named []cardamompass.VM) {
 	near := inRegions(vms, []cardamompass.Region{lkp.Region})
 	if len(near) == 0 {
 		near = inRegions(vms, homes(strings.ToLower(lkp.Name)))
@@ -107,10 +117,7 @@
 	slices.SortStableFunc(near, func(one, two cardamompass.VM) int {
 		return cmp.Or(cmp.Compare(distance(one, lkp), distance(two, lkp)), cmp.Compare(one.ID, two.ID))
 	})
-	for _, vmc := range near[:min(len(near), maxAddresses)] {
-		addresses = append(addresses, vmc.CallerAddress)
-	}
-	return addresses
+	return near[:min(len(near), maxAddresses)]
 }
 
 // inRegions returns the VMs of the given regions.
--- a/internal/edge/front/dispatch.go
+++ b/internal/edge/front/dispatch.go
@@ -44,6 +44,8 @@
 	results  chan *attempt
 	ended    chan struct{} // closed when no more results are received
 	hedging  hedging
+	// tokenAt is when the token of the team's quota was taken that the request holds; zero if it holds none.
+	tokenAt time.Time
 }
 
 // noTargetError reports that no target can be used now.
@@ -127,8 +129,9 @@
 // the last attempt. launchErr is the error of the attempt that did not start; a denial is the result if the request has not run.
 func (dsp *dispatch) finalResult(atm *attempt, launchErr error) (rep send.Reply, err error) {
 	var den *deniedError
-	if !dsp.mayHaveRun && errors.As(launchErr, &den) {
-		return rep, den
+	var qta *quotaError
+	if !dsp.mayHaveRun && (errors.As(launchErr, &den) || errors.As(launchErr, &qta)) {
+		return rep, launchErr
 	}
 	if dsp.fallback != nil {
 		return *dsp.fallback, nil
@@ -145,6 +148,11 @@
 	if err = dsp.exc.checkAgain(); err != nil {
 		return nil, err
 	}
+	if !second {
+		if err = dsp.takeToken(); err != nil {
+			return nil, err
+		}
+	}
 	frt := dsp.exc.frt
 	waiting := !second && frt.waits.active()
 	chc, now, err := dsp.choose(ctx, second, waiting)
@@ -152,7 +160,7 @@
 		return nil, err
 	}
 	if waiting {
-		if err = dsp.exc.checkAgain(); err != nil { // the key may have been revoked during the wait
+		if err = dsp.afterWait(); err != nil {
 			frt.waits.giveBack(dsp, chc)
 			return nil, err
 		}
@@ -193,6 +201,14 @@
 	return atm, nil
 }
 
+// afterWait repeats the checks before a send for a request that may have waited.
+func (dsp *dispatch) afterWait() (err error) {
+	if err = dsp.exc.checkAgain(); err != nil {
+		return err
+	}
+	return dsp.takeToken()
+}
+
 // choose returns a target for the request and the time of the choice. If waiting is set, it may wait for one, and the place there is
 // recorded as taken.
 func (dsp *dispatch) choose(ctx context.Context, second, waiting bool) (chc place.Choice, now time.Time, err error) {
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -71,6 +71,8 @@
 	// Room receives a value when a target may have room for another reason than a response to this VM: a load report of another VM, or a
 	// change of the view. Optional.
 	Room <-chan struct{}
+	// Quota limits the requests of teams. Optional.
+	Quota cardamompass.Quota
 }
 
 // Front is the HTTP handler of callers' requests. It is safe for concurrent use.
@@ -197,7 +199,6 @@
 	if !exc.admit() {
 		return
 	}
-	// The check of the quota of exc.team belongs here: the request is admitted, its body is complete and nothing is counted yet.
 	exc.service = exc.frt.nextService(exc.route)
 	exc.frt.retryBudget(exc.service).Request(exc.start)
 	exc.forward(body)
@@ -268,11 +269,18 @@
 func (exc *exchange) writeFailure(dsp *dispatch, err error) {
 	var fai *send.Failure
 	var den *deniedError
+	var qta *quotaError
 	isFailure := errors.As(err, &fai)
+	if !dsp.mayHaveRun {
+		dsp.returnToken()
+	}
 	switch {
 	case errors.As(err, &den): // only if the request has not run
 		exc.writeDenied(den)
 		exc.finish("denied", den.status, dsp, err)
+	case errors.As(err, &qta): // only if the request has not run
+		exc.writeOverQuota(qta)
+		exc.finish("over-quota", http.StatusTooManyRequests, dsp, err)
 	case !dsp.mayHaveRun:
 		exc.writeUnavailable("the request has not run", dsp.retryAfter(err))
 		exc.finish("refused", http.StatusServiceUnavailable, dsp, err)
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -45,6 +45,7 @@
 	// steering is what the front reads; the zero value is the default.
 	steering atomic.Pointer[steer.Settings]
 	sender   *send.Sender
+	quota    *fixedQuota
 	waiting  atomic.Bool   // whether requests may wait for room
 	room     chan struct{} // see front.Config
 }
@@ -126,6 +127,7 @@
 		balancer: place.New(place.Config{Self: "vm-1", Region: "r"}),
 		bodies:   buffer.New(buffer.Config{Limit: bodyMemory}),
 		room:     make(chan struct{}, 1),
+		quota:    &fixedQuota{left: 1 << 30},
 	}
 	lgr, _, err := logkv.New(logkv.Config{
 		Writer:           &fxt.logs,
@@ -148,6 +150,7 @@
 			return cardamompass.VMSettings{RetryBudgetPercent: 20, RetryBudgetSlack: 56, RetryBudgetWindow: 10 * time.Second}
 		},
 		Steering: func() steer.Settings { return *fxt.steering.Load() },
+		Quota:    fxt.quota,
 		Protocol: platform.Protocol{},
 		Clock:    cardamompass.SystemClock{},
 		Log:      lgr.Logger,
--- /dev/null
+++ b/internal/edge/front/quota_test.go
@@ -0,0 +1,104 @@
+package front_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"cardamompass"
+	"cardamompass/internal/stand/ptarg"
+)
+
+// fixedQuota has a number of tokens for all teams together.
+type fixedQuota struct {
+	mu    sync.Mutex
+	left  int
+	taken int
+}
+
+// Take implements cardamompass.Quota.
+func (qta *fixedQuota) Take(cardamompass.TeamName) (ok bool, retryAfter time.Duration) {
+	qta.mu.Lock()
+	defer qta.mu.Unlock()
+	if qta.left == 0 {
+		return false, 1500 * time.Millisecond
+	}
+	qta.left--
+	qta.taken++
+	return true, 0
+}
+
+// Return implements cardamompass.Quota.
+func (qta *fixedQuota) Return(cardamompass.TeamName) {
+	qta.mu.Lock()
+	defer qta.mu.Unlock()
+	qta.left++
+}
+
+func (qta *fixedQuota) state() (left, taken int) {
+	qta.mu.Lock()
+	defer qta.mu.Unlock()
+	return qta.left, qta.taken
+}
+
+// Guards against requests beyond the quota that are sent to targets, refusals without the time to return, and tokens that are used up by
+// requests that reached no target or have no team.
+func TestQuota(t *testing.T) {
+	fxt := newFixture(t, 2)
+	fxt.apply(teamTable(2, "one"))
+	fxt.quota.left = 2
+	for _, tst := range []struct {
+		path, key   string
+		status      int
+		left, taken int
+	}{
+		{"/open/a", "one", 200, 2, 0},
+		{"/read/a", "unknown", 401, 2, 0},
+		{"/read/a", "far", 503, 2, 1}, // no target of its region: the token is returned
+		{"/read/a", "one", 200, 1, 2},
+		{"/write/a", "one", 200, 0, 3},
+		{"/read/a", "one", 429, 0, 3},
+		{"/write/a", "one", 429, 0, 3},
+		{"/open/a", "one", 200, 0, 3},
+	} {
+		runs := fxt.runs()
+		if status := fxt.sendKey(tst.path, fmt.Sprint(tst.path, tst.left, tst.taken, tst.status), tst.key); status != tst.status {
+			t.Errorf("%s with key %q: status %d, want %d", tst.path, tst.key, status, tst.status)
+		}
+		if ran := fxt.runs() > runs; ran != (tst.status == 200) {
+			t.Errorf("%s with key %q: ran %v", tst.path, tst.key, ran)
+		}
+		if left, taken := fxt.quota.state(); left != tst.left || taken != tst.taken {
+			t.Errorf("%s with key %q: %d tokens left, %d taken, want %d and %d", tst.path, tst.key, left, taken, tst.left, tst.taken)
+		}
+	}
+	req := fxt.request(t.Context(), "/read/a", "last")
+	req.Header.Set("Credential", secret+"one")
+	rsp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer rsp.Body.Close()
+	if after := rsp.Header.Get("Retry-After"); after != "1.500" {
+		t.Errorf("Retry-After %q over the quota", after)
+	}
+}
+
+// Guards against a second token for a request that is sent again after it has reached a target.
+func TestQuotaOfRetry(t *testing.T) {
+	fxt := newFixture(t, 2)
+	fxt.apply(teamTable(2, "one"))
+	fxt.quota.left = 5
+	fxt.set(ptarg.FaultError)
+	if status := fxt.sendKey("/read/a", "again", "one"); status != http.StatusInternalServerError {
+		t.Errorf("status %d", status)
+	}
+	if runs := fxt.runs(); runs != 2 {
+		t.Fatalf("%d runs, want the first and a retry", runs)
+	}
+	if left, taken := fxt.quota.state(); left != 4 || taken != 1 {
+		t.Errorf("%d tokens left, %d taken for a request that was sent twice", left, taken)
+	}
+}
--- a/internal/edge/front/waiting.go
+++ b/internal/edge/front/waiting.go
@@ -121,6 +121,7 @@
 	if wtr == nil {
 		return chc, err
 	}
+	dsp.returnToken() // it is good for a short time only
 	began := rom.frt.cfg.Clock.Now()
 	defer func() { dsp.exc.waited += rom.frt.cfg.Clock.Now().Sub(began) }()
 	rom.started()
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -24,6 +24,7 @@
 	"cardamompass/internal/edge/intake"
 	"cardamompass/internal/edge/pipe"
 	"cardamompass/internal/edge/send"
+	"cardamompass/internal/edge/tokens"
 	"cardamompass/internal/fleet/cast"
 	"cardamompass/internal/fleet/mirror"
 	"cardamompass/internal/fleet/view"
@@ -85,6 +86,7 @@
 	exchanger *cast.Exchanger
 	balancer  *place.Balancer
 	sender    *send.Sender
+	tokens    *tokens.Bank
 	front     *front.Front
 	room      chan struct{} // of capacity 1; see announceRoom
 	pipe      *pipe.Pipe
@@ -145,6 +147,7 @@
 			Bodies:    nod.responseBodies,
 		})
 	})
+	nod.tokens = nod.newTokens(scp)
 	nod.follower = startComponent(nod, func() (*view.Follower, func()) {
 		return view.New(view.Config{
 			Registry: cfg.Registry,
@@ -171,6 +174,7 @@
 	}
 	nod.runEvery(pruneInterval, nod.pruneIdle)
 	nod.runEvery(vmCountInterval, func() { nod.balancer.SetRunningVMs(len(nod.exchanger.Running())+1, cfg.Clock.Now()) })
+	nod.runEvery(tokens.TickInterval, nod.tokens.Tick)
 	nod.runEvery(gaugeInterval, func() { nod.updateGauges(scp) })
 	return nod, nod.close, nil
 }
@@ -183,6 +187,7 @@
 	set := nod.Settings().WithBounds(changed)
 	nod.settings.Store(&set)
 	nod.balancer.SetBounds(placeBounds(set))
+	nod.tokens.SetBounds(quotaBounds(set))
 }
 
 // SetSteering applies changed settings of the steering file to requests that arrive from now on.
@@ -223,6 +228,7 @@
 			Bodies:  nod.requestBodies,
 			Room:    nod.room,
 			Waiting: nod.mayWait,
+			Quota:   nod.tokens,
 		})
 	})
 	nod.pipe = startComponent(nod, func() (*pipe.Pipe, func()) {
@@ -250,6 +256,8 @@
 		ListedVMs:    func() []cardamompass.VM { return nod.follower.View().VMs() },
 		OnReports:    nod.recordReports,
 		OnDepartures: nod.recordDepartures,
+		OnAsks:       nod.tokens.HandleAsks,
+		OnGifts:      nod.tokens.HandleGifts,
 		Clock:        nod.cfg.Clock,
 		Log:          nod.cfg.Log,
 	})
@@ -257,6 +265,7 @@
 		return err
 	}
 	nod.exchanger = cst
+	nod.tokens.Connect(cst)
 	nod.cleanups = append(nod.cleanups, stop)
 	return nil
 }
@@ -337,11 +346,12 @@
 	})
 }
 
-// viewChanged applies a new view to the balancer and its routing table to the connections of callers.
+// viewChanged applies a new view to the balancer and its routing table to the connections of callers and the quotas.
 func (nod *Node) viewChanged(_, next *view.View) {
 	nod.balancer.Sync(next, nod.cfg.Clock.Now())
 	nod.intake.SetLimits(callerLimits(next.Table))
 	nod.announceRoom()
+	nod.tokens.SetTable(next.Table)
 }
 
 // pruneIdle closes idle connections that have expired or whose targets are leaving or removed.
