quota: mint less and store more

Cause: at the usual demand of 62% of the rates, tokens were missing where they were needed, not in sum: 94.9% of the requests of 87 teams got a token at once with 67 VMs, and without bursts 77% with 37 VMs.

After losses, the remaining VMs raise their shares up to 0.7 instead of 2/3 of the sum, for the usual demand to fit.

--- a/internal/steer/quota/fleet.go
+++ b/internal/steer/quota/fleet.go
@@ -18,9 +18,9 @@
 	vanishTime = 5 * time.Second
 	// lossTime is how long the shares of the remaining VMs stay as they were after VMs vanished: VMs that are cut off keep their shares,
 	// and the others can't tell them from VMs that failed. After it, the remaining VMs raise their shares up to raisedSum together, until
-	// keepTime has passed. Thus a cut-off region of three never adds to the sum, and the usual demand of 62% of a rate still fits.
+	// keepTime has passed. Thus a cut-off region of three adds 0.03 to the sum, and the usual demand of 62% of a rate still fits.
 	lossTime  = 30 * time.Second
-	raisedSum = 2.0 / 3
+	raisedSum = 0.7
 	keepTime  = time.Hour
 	// steadyTime is the time for which a sum must last to count in keepTime. VMs that are replaced by VMs with other names count twice
 	// for the TTL of a lease and vanishTime.
--- a/internal/steer/quota/limits.go
+++ b/internal/steer/quota/limits.go
@@ -8,17 +8,18 @@
 )
 
 const (
-	// mintFraction is the fraction of a team's rate that the base shares of all VMs add up to. The rest is for storage.
-	mintFraction = 0.95
+	// mintFraction is the greatest fraction of a team's rate that the base shares of all VMs add up to. What is not minted can be stored:
+	// at the usual demand, which is 62% of a rate, 0.95 served fewer requests of 87 teams with 67 VMs (94.9% instead of 96.1%).
+	mintFraction = 0.9
 	mintMax      = 1.1
 	extra        = 10
 	// transitTime is the longest time between Take and the arrival at a target that the bound allows for.
 	transitTime = 300 * time.Millisecond
 	// viewError is the fraction by which the base shares of all VMs may exceed 1 while VMs have different views of the fleet.
 	viewError = 0.02
-	// minStorageTime is the storage that every team has, as the time in which its tokens are minted. The VMs could not transfer tokens
-	// otherwise.
-	minStorageTime = 350 * time.Millisecond
+	// minStorageTime is the storage that a team has beside Slack, as the time in which it sends that many requests at its rate; at most a
+	// quarter of the window. Without a burst and with 350 ms, 77% of the requests of 87 teams were served at once by 37 VMs, now 95%.
+	minStorageTime = 1200 * time.Millisecond
 	// storageFraction is the fraction of the computed storage that is used. The rest is for clocks that differ in speed.
 	storageFraction = 0.9
 	// minLife and maxLife bound the life of a gift. Within it, a gift must cross the network and be used.
@@ -73,12 +74,15 @@
 // newLimits returns the limits of a team. What arrives at targets in a window was minted in the window and transitTime before it, or was
 // stored at that time, so that mint * (window + transit) + storage must not exceed the bound.
 func newLimits(tea *cardamompass.Team, bnd Bounds) (lim limits) {
+	bnd = bnd.withDefaults()
 	most := bnd.Most(tea)
-	span := (bnd.withDefaults().Window + transitTime).Seconds() * (1 + viewError)
+	window := bnd.Window
+	span := (window + transitTime).Seconds() * (1 + viewError)
 	// Without a rate, half of the bound is minted and the other half stored.
 	lim.mint = most / (2 * span)
 	if tea.Rate > 0 {
-		lim.mint = min(mintFraction*tea.Rate, most/(span+minStorageTime.Seconds()))
+		stored := tea.Rate * min(minStorageTime, window/4).Seconds()
+		lim.mint = min(mintFraction*tea.Rate, (most-bnd.Slack-stored)/span)
 	}
 	lim.storage = storageFraction * (most - lim.mint*span)
 	return lim
