quota, tokens: a VM that takes the place of an earlier process mints at once

Cause: each process minted nothing for its first 1.5 s. Change: if the store still lists an earlier process of the VM when it starts, the others count the VM already, and it mints at once.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -347,7 +347,10 @@
 }
 
 // viewChanged applies a new view to the balancer and its routing table to the connections of callers and the quotas.
-func (nod *Node) viewChanged(_, next *view.View) {
+func (nod *Node) viewChanged(old, next *view.View) {
+	if _, listed := next.VM(nod.self.ID); listed && old.Revision == 0 { // the first listing, before this process has announced itself
+		nod.tokens.SetReturned()
+	}
 	nod.balancer.Sync(next, nod.cfg.Clock.Now())
 	nod.intake.SetLimits(callerLimits(next.Table))
 	nod.announceRoom()
--- a/internal/edge/tokens/tick.go
+++ b/internal/edge/tokens/tick.go
@@ -78,6 +78,7 @@
 	now := bnk.cfg.Clock.Now()
 	bnk.mu.Lock()
 	defer bnk.mu.Unlock()
+	obs.Returned = bnk.returned
 	bnk.ledger.SetShare(bnk.fleet.Observe(obs, now), now)
 }
 
--- a/internal/edge/tokens/tokens.go
+++ b/internal/edge/tokens/tokens.go
@@ -66,6 +66,7 @@
 	ticks    int
 	gifts    uint64 // number of gifts sent
 	refusing int    // teams of which requests are being refused; used only by Tick
+	returned bool   // the store listed an earlier process of this VM
 }
 
 var _ cardamompass.Quota = (*Bank)(nil)
@@ -117,6 +118,13 @@
 	}
 }
 
+// SetReturned records that the store listed an earlier process of this VM when this one started.
+func (bnk *Bank) SetReturned() {
+	bnk.mu.Lock()
+	defer bnk.mu.Unlock()
+	bnk.returned = true
+}
+
 // SetBounds applies changed bounds.
 func (bnk *Bank) SetBounds(bnd quota.Bounds) {
 	now := bnk.cfg.Clock.Now()
--- a/internal/steer/quota/fleet.go
+++ b/internal/steer/quota/fleet.go
@@ -26,7 +26,8 @@
 	// for the TTL of a lease and vanishTime.
 	steadyTime = 10 * time.Second
 	// noticeTime is the time in which the other VMs see that a VM has started or has a greater weight. Until then it does not mint, or
-	// mints by the weight that it had before. A change is seen in the store after up to 1 s.
+	// mints by the weight that it had before. A change is seen in the store after up to 1 s. A process that takes the place of an earlier
+	// one, which the store still lists, mints at once: the others count the VM already, and its entry is no older than those of the others.
 	noticeTime = 1500 * time.Millisecond
 	// startTime is the time after a start in which failure domains without a known VM count as much as the others, and at least as one
 	// VM. Their VMs may start later, or be cut off. A shorter time does not cover a cut that begins while all VMs start.
@@ -45,6 +46,8 @@
 	EmptyDomains int
 	// Fresh is set when the store has responded recently. Otherwise VMs that are missing may be running.
 	Fresh bool
+	// Returned is set when the store still listed an earlier process of this VM when this one started.
+	Returned bool
 }
 
 // Share is the share of a VM.
@@ -60,7 +63,9 @@
 	self  cardamompass.VMID
 	start time.Time
 	last  time.Time
-	seen  map[cardamompass.VMID]*sighting
+	// resumed is set once the process was stopped for longer than freezeTime.
+	resumed bool
+	seen    map[cardamompass.VMID]*sighting
 	// highs are decreasing sums of the last lossTime and lows increasing sums of the last steadyTime, in the order of time.
 	highs []sample
 	lows  []sample
@@ -97,7 +102,7 @@
 // Observe records an observation and returns the resulting share.
 func (flt *Fleet) Observe(obs Observation, now time.Time) (shr Share) {
 	if now.Sub(flt.last) > freezeTime {
-		flt.start = now
+		flt.start, flt.resumed = now, true
 	}
 	flt.last = now
 	flt.record(obs, now)
@@ -115,7 +120,7 @@
 		return shr
 	}
 	shr.Future = weight / divisor
-	if now.Sub(flt.start) >= noticeTime {
+	if now.Sub(flt.start) >= noticeTime || (obs.Returned && !flt.resumed) {
 		shr.Now = flt.own[0].value / divisor
 	}
 	return shr
--- a/internal/steer/quota/sim_test.go
+++ b/internal/steer/quota/sim_test.go
@@ -32,6 +32,7 @@
 	hasTable  bool
 	listed    map[cardamompass.VMID]bool
 	listedAt  time.Duration
+	returned  bool
 	heard     map[cardamompass.VMID]time.Duration
 	nextTick  time.Duration
 	nextGift  uint64
@@ -138,6 +139,7 @@
 	vmc.down = false
 	vmc.startedAt = sml.now
 	vmc.hasTable = false
+	vmc.returned = sml.reachesStore(vmc) && sml.entries[vmc.id] > sml.now
 	vmc.incarnation = cardamompass.Incarnation(sml.clock().UnixNano())
 	vmc.ledger = quota.New(quota.Config{
 		Incarnation: vmc.incarnation,
@@ -206,6 +208,7 @@
 	}
 	vmc.nextTick = sml.now + quota.AskInterval
 	if sml.reachesStore(vmc) {
+		// The entry of an earlier process ends with its lease unless this one has announced itself.
 		if end, ok := sml.entries[vmc.id]; ok || sml.now-vmc.startedAt >= 200*time.Millisecond {
 			if sml.now > end-2*time.Second {
 				sml.entries[vmc.id] = sml.now + leaseTTL
@@ -249,6 +252,7 @@
 func (sml *sim) observation(vmc *simVM) (obs quota.Observation) {
 	obs.Weights = map[cardamompass.VMID]float64{vmc.id: vmc.weight}
 	obs.Fresh = sml.now-vmc.listedAt < 2*time.Second
+	obs.Returned = vmc.returned
 	for id, ok := range vmc.listed {
 		if ok {
 			obs.Weights[id] = sml.byID[id].weight
