--- a/tableindex.go
+++ b/tableindex.go
@@ -59,6 +59,27 @@
 	return &indexed
 }
 
+// KeysNotIn returns the number of keys that a team has in tbl but not in oth, which may be nil. The empty key doesn't count, since it
+// belongs to no team. Only tables that WithIndex returned in this process know keys.
+func (tbl *RoutingTable) KeysNotIn(oth *RoutingTable, name TeamName) (count int) {
+	if tbl.index == nil {
+		return 0
+	}
+	empty := hashKey("")
+	for hash, tea := range tbl.index.teams {
+		if tea.Name != name || hash == empty {
+			continue
+		}
+		if oth != nil && oth.index != nil {
+			if own, ok := oth.index.teams[hash]; ok && own.Name == name {
+				continue
+			}
+		}
+		count++
+	}
+	return count
+}
+
 // addRoute adds a route. Of routes with the same host and prefix, the first one serves the requests.
 func (idx *tableIndex) addRoute(rte *Route) {
 	hst, ok := idx.hosts[rte.Host]
