entryvm: check-config checks a configuration before it is sent

Cause: operators learn of a fault in a configuration only from the logs of VMs, or from callers. Change: `entryvm check-config FILE [--in-force FILE] [--json]` prints findings and changes. Exit status 0: no findings, 1: findings, 2: a file can't be read or parsed. Changes are no findings.

--- a/cmd/entryvm/export_test.go
+++ b/cmd/entryvm/export_test.go
@@ -2,6 +2,9 @@
 
 import "go.uber.org/zap"
 
+// Commands defines the command line.
+type Commands = commands
+
 // Settable is what the files are applied to.
 type Settable = settable
 
--- a/cmd/entryvm/main.go
+++ b/cmd/entryvm/main.go
@@ -14,9 +14,10 @@
 
 // commands defines the command line.
 type commands struct {
-	Serve   ServeCmd   `cmd:"" default:"withargs" help:"Run the entry VM."`
-	Check   CheckCmd   `cmd:"" help:"Check a settings file in the platform's format, a steering file, or both."`
-	Explain ExplainCmd `cmd:"" help:"Explain from logs why a request ended as it did."`
+	Serve       ServeCmd       `cmd:"" default:"withargs" help:"Run the entry VM."`
+	Check       CheckCmd       `cmd:"" help:"Check a settings file in the platform's format, a steering file, or both."`
+	CheckConfig CheckConfigCmd `cmd:"" help:"Check a configuration for the store before it is sent, and show what it changes."`
+	Explain     ExplainCmd     `cmd:"" help:"Explain from logs why a request ended as it did."`
 }
 
 func main() {
