entryvm: the hedge limit also as a flag

Cause: the processes of the users' platform can't open files of the repository ("stat ...: no such file or directory" at the start), so that the steering file can't be used there.

--- a/cmd/entryvm/serve.go
+++ b/cmd/entryvm/serve.go
@@ -34,8 +34,10 @@
 // ServeCmd runs an entry VM.
 type ServeCmd struct {
 	Settings string `help:"Settings file; by default the one named in the environment."`
-	Steering string `help:"Steering file, JSON with comments; by default none, and all of its settings have their defaults." type:"path"`
-	LogLevel string `help:"Lowest level of log lines." default:"info" enum:"debug,info,warn,error"`
+	Steering string `help:"Steering file, JSON with comments; by default none, and all of its settings have their defaults." type:"path" xor:"steering"`
+	// HedgeLimitPercent is for VMs that have no file system to put a steering file on.
+	HedgeLimitPercent int    `help:"The setting hedge-limit-percent where there is no steering file, 0 to 20." xor:"steering"`
+	LogLevel          string `help:"Lowest level of log lines." default:"info" enum:"debug,info,warn,error"`
 }
 
 // Run serves until SIGTERM or SIGINT requests a planned stop, and returns when the stop is complete.
@@ -45,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	steering, err := loadSteering(cmd.Steering)
+	steering, err := cmd.steering()
 	if err != nil {
 		return err
 	}
@@ -78,12 +80,14 @@
 	return nil
 }
 
-// loadSteering returns the settings of the steering file at path, or the defaults if path is empty.
-func loadSteering(path string) (set steer.Settings, err error) {
-	if path == "" {
-		return set, nil
+// steering returns the settings of the steering file or of the flags in its place.
+func (cmd *ServeCmd) steering() (set steer.Settings, err error) {
+	if cmd.Steering != "" {
+		return steer.Load(cmd.Steering)
 	}
-	return steer.Load(path)
+	return steer.Settings{
+		HedgeLimitPercent: cmd.HedgeLimitPercent,
+	}.Checked()
 }
 
 func memoryLimit(limit int64) (size int64) {
--- a/internal/conf/steer/steer.go
+++ b/internal/conf/steer/steer.go
@@ -5,10 +5,12 @@
 package steer
 
 import (
+	"fmt"
 	"os"
 
 	"github.com/pkg/errors"
 
+	"cardamompass"
 	"cardamompass/internal/conf/jsonc"
 	"cardamompass/internal/steer/hedge"
 )
@@ -23,6 +25,17 @@
 	HedgeLimitPercent int
 }
 
+// Checked returns the settings, or an InvalidError if a value is out of range.
+func (set Settings) Checked() (out Settings, err error) {
+	if set.HedgeLimitPercent < 0 || set.HedgeLimitPercent > hedge.MaxPercent {
+		return Settings{}, &cardamompass.InvalidError{
+			Field:  "hedge-limit-percent",
+			Reason: fmt.Sprintf("%d is not a percentage from 0 to %d", set.HedgeLimitPercent, hedge.MaxPercent),
+		}
+	}
+	return set, nil
+}
+
 // Load reads the file at path. Each problem in the error has file, line and column.
 func Load(path string) (set Settings, err error) {
 	defer func() { err = errors.Wrap(err, "steering") }()
--- a/internal/conf/steer/steer_test.go
+++ b/internal/conf/steer/steer_test.go
@@ -46,3 +46,12 @@
 		t.Errorf("error %v of a missing file", err)
 	}
 }
+
+// Guards against a limit out of range that is given without a file.
+func TestChecked(t *testing.T) {
+	for percent, valid := range map[int]bool{-1: false, 0: true, 20: true, 21: false} {
+		if _, err := (steer.Settings{HedgeLimitPercent: percent}).Checked(); (err == nil) != valid {
+			t.Errorf("limit of %d percent: error %v", percent, err)
+		}
+	}
+}
