front: return a token to the team that it was taken from

Cause: returnToken used the team that the request has now. With a newer table the team of a request may change between two attempts: when its route becomes public it has none, and returnToken panicked, which closed the caller's connection without an answer; when its key moves to another team, the token of the first team was returned to the second, whose requests could then exceed its bound, and the request was sent without a token of the second.

Change: the dispatch keeps the team of its token. A token of another team is returned and one of the new team is taken.

--- a/internal/edge/front/dispatch.go
+++ b/internal/edge/front/dispatch.go
@@ -44,8 +44,10 @@
 	results  chan *attempt
 	ended    chan struct{} // closed when no more results are received
 	hedging  hedging
-	// tokenAt is when the token of the team's quota was taken that the request holds; zero if it holds none.
-	tokenAt time.Time
+	// tokenAt is when the token of a quota was taken that the request holds, zero if it holds none; tokenTeam is the team that it was taken
+	// from. The team of the request may change with the table.
+	tokenAt   time.Time
+	tokenTeam cardamompass.TeamName
 }
 
 // noTargetError reports that no target can be used now.
--- a/internal/edge/front/quota.go
+++ b/internal/edge/front/quota.go
@@ -24,22 +24,25 @@
 // needs none for its retries and hedges.
 func (dsp *dispatch) takeToken() (err error) {
 	exc := dsp.exc
-	if exc.frt.cfg.Quota == nil || exc.team == nil || dsp.sent > 0 {
+	if exc.frt.cfg.Quota == nil || dsp.sent > 0 {
 		return nil
 	}
 	now := exc.frt.cfg.Clock.Now()
-	if !dsp.tokenAt.IsZero() && now.Sub(dsp.tokenAt) < tokenLife {
+	if exc.team != nil && exc.team.Name == dsp.tokenTeam && !dsp.tokenAt.IsZero() && now.Sub(dsp.tokenAt) < tokenLife {
+		return nil
+	}
+	dsp.returnToken() // that of another team; one that is no longer good is not returned
+	if exc.team == nil {
 		return nil
 	}
 	ok, after := exc.frt.cfg.Quota.Take(exc.team.Name)
 	if !ok {
-		dsp.tokenAt = time.Time{}
 		return &quotaError{
 			team:       exc.team.Name,
 			retryAfter: after,
 		}
 	}
-	dsp.tokenAt = now
+	dsp.tokenAt, dsp.tokenTeam = now, exc.team.Name
 	return nil
 }
 
@@ -47,7 +50,7 @@
 func (dsp *dispatch) returnToken() {
 	frt := dsp.exc.frt
 	if !dsp.tokenAt.IsZero() && frt.cfg.Clock.Now().Sub(dsp.tokenAt) < tokenLife {
-		frt.cfg.Quota.Return(dsp.exc.team.Name)
+		frt.cfg.Quota.Return(dsp.tokenTeam)
 	}
 	dsp.tokenAt = time.Time{}
 }
--- a/internal/edge/front/quota_test.go
+++ b/internal/edge/front/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +17,8 @@
 	mu    sync.Mutex
 	left  int
 	taken int
+	// returned are the teams of which tokens were returned.
+	returned []cardamompass.TeamName
 }
 
 // Take implements cardamompass.Quota.
@@ -31,10 +34,11 @@
 }
 
 // Return implements cardamompass.Quota.
-func (qta *fixedQuota) Return(cardamompass.TeamName) {
+func (qta *fixedQuota) Return(team cardamompass.TeamName) {
 	qta.mu.Lock()
 	defer qta.mu.Unlock()
 	qta.left++
+	qta.returned = append(qta.returned, team)
 }
 
 func (qta *fixedQuota) state() (left, taken int) {
@@ -102,3 +106,48 @@
 		t.Errorf("%d tokens left, %d taken for a request that was sent twice", left, taken)
 	}
 }
+
+// Guards against a panic, and a token that is returned to another team than the one that it was taken from, when the team of a request
+// changes between two attempts that reach no target.
+func TestQuotaWhenTeamChanges(t *testing.T) {
+	public := teamTable(3, "one")
+	for num := range public.Table.Routes {
+		public.Table.Routes[num].Public = true
+	}
+	public.Table = public.Table.WithIndex(map[string]cardamompass.TeamName{secret + "one": "one"})
+	other := teamTable(3, "one")
+	other.Table.Teams["two"] = &cardamompass.Team{Name: "two"}
+	other.Table = other.Table.WithIndex(map[string]cardamompass.TeamName{secret + "one": "two"})
+	for _, tst := range []struct {
+		name     string
+		after    cardamompass.Change
+		taken    int
+		returned []cardamompass.TeamName
+	}{
+		{"none", public, 1, []cardamompass.TeamName{"one"}},
+		{"another", other, 2, []cardamompass.TeamName{"one", "two"}},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			fxt := newFixture(t, 2)
+			fxt.apply(teamTable(2, "one"))
+			for _, stop := range fxt.stops {
+				stop()
+			}
+			fxt.onDial = func() { fxt.apply(tst.after) }
+			rsp, err := http.DefaultClient.Do(withKey(fxt.request(t.Context(), "/write/a", "moved"), "one"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer rsp.Body.Close()
+			if _, taken := fxt.quota.state(); rsp.StatusCode != http.StatusServiceUnavailable || taken != tst.taken ||
+				!slices.Equal(fxt.quota.returned, tst.returned) {
+				t.Errorf("status %d, %d tokens taken, returned %v", rsp.StatusCode, taken, fxt.quota.returned)
+			}
+		})
+	}
+}
+
+func withKey(req *http.Request, key string) (out *http.Request) {
+	req.Header.Set("Credential", secret+key)
+	return req
+}
