front: a request that targets have shed keeps its token

Cause: the token was returned if the request had not run. A request that a target answers with 'not run' has not run, but it has arrived at the target, and the bound counts arrivals. At shedding targets one token served any number of requests. The same happened when a request waited for room after a target had shed it.

Change: returnToken returns nothing once an attempt has reached a target.

Measured: TestQuotaOfShedRequest, with and without waiting, on both kinds of routes, failed before with '5 tokens left, 1 taken for a request that reached targets' (4 of 4 cases); it passes three times with -race. The whole package passes.

--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -271,9 +271,7 @@
 	var den *deniedError
 	var qta *quotaError
 	isFailure := errors.As(err, &fai)
-	if !dsp.mayHaveRun {
-		dsp.returnToken()
-	}
+	dsp.returnToken()
 	switch {
 	case errors.As(err, &den): // only if the request has not run
 		exc.writeDenied(den)
--- a/internal/edge/front/quota.go
+++ b/internal/edge/front/quota.go
@@ -46,10 +46,11 @@
 	return nil
 }
 
-// returnToken returns the token of a request that has not run.
+// returnToken returns the token of a request that has reached no target. One that a target has shed has used its token, although it has
+// not run.
 func (dsp *dispatch) returnToken() {
 	frt := dsp.exc.frt
-	if !dsp.tokenAt.IsZero() && frt.cfg.Clock.Now().Sub(dsp.tokenAt) < tokenLife {
+	if !dsp.tokenAt.IsZero() && dsp.sent == 0 && frt.cfg.Clock.Now().Sub(dsp.tokenAt) < tokenLife {
 		frt.cfg.Quota.Return(dsp.tokenTeam)
 	}
 	dsp.tokenAt = time.Time{}
--- a/internal/edge/front/quota_test.go
+++ b/internal/edge/front/quota_test.go
@@ -107,6 +107,26 @@
 	}
 }
 
+// Guards against more requests at targets than the quota: the token of a request that targets have shed was returned, so that each token
+// served any number of them.
+func TestQuotaOfShedRequest(t *testing.T) {
+	for _, waiting := range []bool{false, true} {
+		for _, path := range []string{"/read/a", "/write/a"} {
+			fxt := newFixture(t, 2)
+			fxt.apply(teamTable(2, "one"))
+			fxt.waiting.Store(waiting)
+			fxt.quota.left = 5
+			fxt.set(ptarg.FaultShed)
+			if status := fxt.sendKey(path, "shed", "one"); status != http.StatusServiceUnavailable {
+				t.Errorf("%s: status %d", path, status)
+			}
+			if left, taken := fxt.quota.state(); left != 4 || taken != 1 {
+				t.Errorf("%s, waiting %v: %d tokens left, %d taken for a request that reached targets", path, waiting, left, taken)
+			}
+		}
+	}
+}
+
 // Guards against a panic, and a token that is returned to another team than the one that it was taken from, when the team of a request
 // changes between two attempts that reach no target.
 func TestQuotaWhenTeamChanges(t *testing.T) {
