mirror, view: no evacuation from another VM after the store has been read further

Cause: a VM without the store asks another one and applies the answer up to 3 s later. If the store answers meanwhile and the follower reads the end of an evacuation, the answer sets the evacuation again, and nothing ends it: the store reports the end only once. The VM then sends nothing to that failure domain until it starts again or the domain is evacuated and restored once more.

Change: an answer has the revision up to which the other VM has read the store (gob ignores a missing field), and the follower leaves out evacuations whose revision it has reached itself.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -159,8 +159,10 @@
 type Answer struct {
 	// Table is the compressed form of a newer table, empty if there is none.
 	Table []byte
-	// Evacuated are the evacuated failure domains, if the other VM has read later changes of the store.
+	// Evacuated are the evacuated failure domains, if the other VM has read later changes of the store, and Revision is the revision
+	// up to which it has read them.
 	Evacuated []string
+	Revision  int64
 }
 
 // service is the receiver of the RPC calls.
@@ -174,6 +176,7 @@
 		ans.Table = data
 	}
 	if vew.Revision > que.Revision {
+		ans.Revision = vew.Revision
 		for _, dom := range vew.EvacuatedDomains() {
 			ans.Evacuated = append(ans.Evacuated, string(dom))
 		}
@@ -243,6 +246,7 @@
 		if !vew.Evacuated(cardamompass.FailureDomain(dom)) {
 			chs = append(chs, cardamompass.Change{
 				Evacuated: cardamompass.FailureDomain(dom),
+				Revision:  ans.Revision,
 			})
 		}
 	}
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -1,8 +1,11 @@
 package mirror_test
 
 import (
+	"context"
 	"fmt"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +32,8 @@
 	reg  *platform.Registry
 	link *fault.Proxy
 	mir  *mirror.Mirror
+	// beforeApply is called before changes from another VM are applied. Optional.
+	beforeApply atomic.Pointer[func()]
 }
 
 func newVM(t *testing.T, sto *pstore.Store, peers func() []cardamompass.VM) (vmc *vm) {
@@ -64,10 +69,15 @@
 		View:    flw.View,
 		Outage:  flw.OutageAge,
 		Peers:   peers,
-		Apply:   flw.ApplyPeerChanges,
-		Dial:    send.Dialer(time.Second),
-		Clock:   cardamompass.SystemClock{},
-		Log:     zaptest.NewLogger(t),
+		Apply: func(ctx context.Context, chs []cardamompass.Change) {
+			if fun := vmc.beforeApply.Load(); fun != nil {
+				(*fun)()
+			}
+			flw.ApplyPeerChanges(ctx, chs)
+		},
+		Dial:  send.Dialer(time.Second),
+		Clock: cardamompass.SystemClock{},
+		Log:   zaptest.NewLogger(t),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -145,6 +155,50 @@
 	}
 }
 
+// Guards against an evacuation that another VM has reported and that is applied after the store has reported its end: nothing would end it.
+func TestEvacuationEndsBeforeItIsApplied(t *testing.T) {
+	sto, stopStore, err := pstore.New("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stopStore)
+	configure(sto, 1)
+	served := newVM(t, sto, func() []cardamompass.VM { return nil })
+	refused := newVM(t, sto, func() []cardamompass.VM {
+		return []cardamompass.VM{{
+			ID:          "served",
+			PeerAddress: served.mir.Address(),
+		}}
+	})
+	for _, vmc := range []*vm{served, refused} {
+		waitFor(t, "version 1", func() bool { return vmc.View().Table != nil })
+	}
+	applied := make(chan struct{})
+	regain := sync.OnceFunc(func() {
+		defer close(applied)
+		sto.Delete("op/evacuate/z-1")
+		_ = refused.link.Heal()
+		for end := time.Now().Add(2 * time.Second); refused.OutageAge() > 0 && time.Now().Before(end); {
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+	refused.beforeApply.Store(&regain)
+	refused.link.Cut()
+	sto.PutRaw("op/evacuate/z-1", []byte("{}"))
+	select {
+	case <-applied:
+	case <-time.After(learnBound):
+		t.Fatal("nothing learnt from the other VM")
+	}
+	if refused.OutageAge() > 0 {
+		t.Fatal("the store has not answered in time")
+	}
+	time.Sleep(1500 * time.Millisecond) // longer than the pause of the follower after changes
+	if refused.View().Evacuated("z-1") {
+		t.Error("the failure domain is evacuated for good")
+	}
+}
+
 // closedAddress returns an address at which nothing listens.
 func closedAddress(t *testing.T) (address string) {
 	t.Helper()
