tokens: a quiet store is no outage

Cause: the list of VMs counted as complete for 2 s after a response of the store, and every VM that was ever seen counted as running otherwise. A watch without changes is held for 100 ms for each VM, 3.7 s with 37 and 6.7 s with 67 VMs. With a store that has nothing to report, no VM was ever dropped, so that its share of the quotas was lost for good.

Change: the list also counts as complete while the follower sees no outage. A store that stops to answer is noticed by the renewal of the lease, every second, well within the 5 s and 30 s for which vanished VMs count.

Measured: TestShareRisesWhileTheStoreIsQuiet, one of two VMs vanished and responses 6.7 s apart: share 0.5 a minute later before, 0.7 now; in an outage it stays 0.5. The package passes with -race.

--- a/internal/edge/node/quota.go
+++ b/internal/edge/node/quota.go
@@ -13,14 +13,15 @@
 // newTokens returns the quotas of teams. They use the follower and the exchanger, which start later.
 func (nod *Node) newTokens(scp tally.Scope) (bnk *tokens.Bank) {
 	return tokens.New(tokens.Config{
-		Self:     nod.self,
-		Regions:  nod.cfg.Settings.Regions,
-		OtherVMs: func() []cardamompass.VM { return nod.exchanger.OtherVMs() },
-		StoreAge: func() time.Duration { return nod.follower.StoreAge() },
-		Bounds:   quotaBounds(nod.cfg.Settings),
-		Clock:    nod.cfg.Clock,
-		Log:      nod.cfg.Log,
-		Scope:    scp,
+		Self:        nod.self,
+		Regions:     nod.cfg.Settings.Regions,
+		OtherVMs:    func() []cardamompass.VM { return nod.exchanger.OtherVMs() },
+		StoreAge:    func() time.Duration { return nod.follower.StoreAge() },
+		StoreOutage: func() time.Duration { return nod.follower.OutageAge() },
+		Bounds:      quotaBounds(nod.cfg.Settings),
+		Clock:       nod.cfg.Clock,
+		Log:         nod.cfg.Log,
+		Scope:       scp,
 	})
 }
 
--- a/internal/edge/tokens/tick.go
+++ b/internal/edge/tokens/tick.go
@@ -68,7 +68,7 @@
 	obs := quota.Observation{
 		Weights: direct.Weights(vms),
 		Domains: len(known),
-		Fresh:   age >= 0 && age < freshStoreAge,
+		Fresh:   age >= 0 && (age < freshStoreAge || bnk.cfg.StoreOutage() == 0), // a watch without changes lasts longer
 	}
 	for dom := range bnk.cfg.Regions {
 		if !known[dom] {
--- a/internal/edge/tokens/tokens.go
+++ b/internal/edge/tokens/tokens.go
@@ -24,7 +24,8 @@
 	idleObserveTicks = 10
 	// metricTicks is the number of ticks between two updates of the metrics.
 	metricTicks = 10
-	// freshStoreAge is the time since the last response of the store up to which its list of VMs is taken for complete.
+	// freshStoreAge is the time since the last response of the store up to which its list of VMs is taken for complete even in an outage:
+	// single calls fail now and then.
 	freshStoreAge = 2 * time.Second
 )
 
@@ -46,10 +47,12 @@
 	OtherVMs func() []cardamompass.VM
 	// StoreAge returns the time since the last response of the store; negative if there was none.
 	StoreAge func() time.Duration
-	Bounds   quota.Bounds
-	Clock    cardamompass.Clock
-	Log      *zap.Logger
-	Scope    tally.Scope
+	// StoreOutage returns how long the store has not answered; 0 if it answers.
+	StoreOutage func() time.Duration
+	Bounds      quota.Bounds
+	Clock       cardamompass.Clock
+	Log         *zap.Logger
+	Scope       tally.Scope
 }
 
 // Bank is the ledger of a running VM. It implements cardamompass.Quota and is safe for concurrent use.
--- a/internal/edge/tokens/tokens_test.go
+++ b/internal/edge/tokens/tokens_test.go
@@ -75,13 +75,14 @@
 	for num, vmc := range vms {
 		others := append(append([]cardamompass.VM(nil), vms[:num]...), vms[num+1:]...)
 		bnk := tokens.New(tokens.Config{
-			Self:     vmc,
-			Regions:  map[cardamompass.FailureDomain]cardamompass.Region{"d": "r"},
-			OtherVMs: func() []cardamompass.VM { return append([]cardamompass.VM(nil), others...) },
-			StoreAge: func() time.Duration { return 0 },
-			Clock:    clk,
-			Log:      log,
-			Scope:    tally.NoopScope,
+			Self:        vmc,
+			Regions:     map[cardamompass.FailureDomain]cardamompass.Region{"d": "r"},
+			OtherVMs:    func() []cardamompass.VM { return append([]cardamompass.VM(nil), others...) },
+			StoreAge:    func() time.Duration { return 0 },
+			StoreOutage: func() time.Duration { return 0 },
+			Clock:       clk,
+			Log:         log,
+			Scope:       tally.NoopScope,
 		})
 		peers := flt
 		peers.self = vmc.ID
@@ -200,3 +201,48 @@
 	})
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "refusals/s")
 }
+
+// Guards against a share that stays as it was after VMs have vanished, because the store has nothing to report: a watch without changes
+// lasts up to 10 s, and the time since its last response was taken for an outage.
+func TestShareRisesWhileTheStoreIsQuiet(t *testing.T) {
+	for _, tst := range []struct {
+		name   string
+		outage time.Duration
+		want   float64
+	}{
+		{"the store answers", 0, 0.7},
+		{"outage", time.Minute, 0.5},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			clk := &clock{
+				now: time.Unix(1e9, 0),
+			}
+			begin := clk.Now()
+			other := []cardamompass.VM{{ID: "b", Region: "r", FailureDomain: "d"}}
+			outage := time.Duration(0)
+			bnk := tokens.New(tokens.Config{
+				Self:        cardamompass.VM{ID: "a", Region: "r", FailureDomain: "d"},
+				Regions:     map[cardamompass.FailureDomain]cardamompass.Region{"d": "r"},
+				OtherVMs:    func() []cardamompass.VM { return append([]cardamompass.VM(nil), other...) },
+				StoreAge:    func() time.Duration { return clk.Now().Sub(begin) % (6700 * time.Millisecond) },
+				StoreOutage: func() time.Duration { return outage },
+				Clock:       clk,
+				Log:         zap.NewNop(),
+				Scope:       tally.NoopScope,
+			})
+			bnk.SetTable(&cardamompass.RoutingTable{
+				Version: 1,
+				Teams:   map[cardamompass.TeamName]*cardamompass.Team{"t": {Name: "t", Rate: 100}},
+			})
+			flt := fleet{
+				banks: map[cardamompass.VMID]*tokens.Bank{"a": bnk},
+			}
+			flt.run(clk, 400, 0)
+			other, outage = nil, tst.outage
+			flt.run(clk, 600, 0)
+			if shr := bnk.Dump().Share; shr != tst.want {
+				t.Errorf("share %v a minute after the other VM vanished, want %v", shr, tst.want)
+			}
+		})
+	}
+}
