cast: an ask states whole tokens

Cause: the tokens that a VM has are one byte in units of 1/256 in an ask, at most 255/256. A VM with a token and more thus appeared to lack a part of one, and VMs with less than a token gave it all they had.

Change: 255 means one token and more; less than a token is at most 254.

Measured: TestAskOfAVMWithTokens failed before ('a VM with 7 tokens seems to have 0.99609375'); the package passes with -race. The effect on the requests served was not measured.

--- a/internal/fleet/cast/tokens.go
+++ b/internal/fleet/cast/tokens.go
@@ -201,14 +201,29 @@
 	if ask.Urgent {
 		life |= urgentBit
 	}
-	return append(data, byte(min(math.MaxUint8, units(ask.Have))), life)
+	return append(data, haveByte(ask.Have), life)
+}
+
+// haveByte returns the number of tokens that a VM has: units of parts of a token, or math.MaxUint8 for a whole one and more.
+func haveByte(tokens float64) (count byte) {
+	if tokens >= 1 {
+		return math.MaxUint8
+	}
+	return byte(min(math.MaxUint8-1, units(tokens)))
+}
+
+func readHave(count byte) (tokens float64) {
+	if count == math.MaxUint8 {
+		return 1
+	}
+	return float64(count) / tokenUnits
 }
 
 func readAsk(data []byte) (ask quota.Ask) {
 	return quota.Ask{
 		Team:   quota.TeamID(binary.BigEndian.Uint32(data)),
 		Want:   float64(binary.BigEndian.Uint16(data[4:])) / tokenUnits,
-		Have:   float64(data[6]) / tokenUnits,
+		Have:   readHave(data[6]),
 		Urgent: data[7]&urgentBit != 0,
 		Life:   time.Duration(data[7]&^urgentBit) * lifeUnit,
 	}
--- a/internal/fleet/cast/tokens_test.go
+++ b/internal/fleet/cast/tokens_test.go
@@ -161,3 +161,25 @@
 		t.Fatal("gifts are promised that can't be sent")
 	}
 }
+
+// Guards against a VM that has a token and more, and appears to others as one that lacks a part of one: they give it their parts of tokens.
+func TestAskOfAVMWithTokens(t *testing.T) {
+	nodes := newTokenNodes(t)
+	for _, tst := range []struct{ have, most, least float64 }{
+		{0.25, 0.25, 0.25},
+		{0.999, 0.9989, 0.99}, // not a whole one
+		{1, 1, 1},
+		{7, 7, 1},
+	} {
+		round := uint64(tst.have * 1000)
+		waitFor(t, "asks", func() bool {
+			nodes[0].SendAsks("vm-2", quota.Asks{Round: round, Asks: []quota.Ask{{Want: 1, Have: tst.have}}})
+			_, asks, _ := nodes[1].received()
+			return len(asks) > 0 && asks[len(asks)-1].Round == round
+		})
+		_, asks, _ := nodes[1].received()
+		if have := asks[len(asks)-1].Asks[0].Have; have > tst.most || have < tst.least {
+			t.Errorf("a VM with %v tokens seems to have %v", tst.have, have)
+		}
+	}
+}
