quota, tokens: refusals of a team end when its limit ends

Cause: Changes looked only at teams with a limit, and Tick reported nothing once no team had one. A team that lost its limit while requests were refused was never reported as ended, and quota-refusing-teams stayed one too high for the life of the process.

Change: Changes also ends the refusals of teams without a limit, and Tick reports until none is left.

--- a/internal/edge/tokens/tick.go
+++ b/internal/edge/tokens/tick.go
@@ -50,7 +50,7 @@
 	if ticks%idleObserveTicks == 1 || (limited && ticks%observeTicks == 1) {
 		bnk.observe()
 	}
-	if !limited {
+	if !limited && bnk.refusing == 0 {
 		return
 	}
 	bnk.sendAsks()
@@ -154,7 +154,7 @@
 			bnk.cfg.Log.Info("quota refusals end", zap.String("team", string(chg.Team)), zap.Int64("refused", chg.Refused))
 		}
 	}
-	if metrics {
+	if metrics || len(chs) > 0 {
 		bnk.met.update(cnt)
 		bnk.met.share.Update(share)
 		bnk.met.refusing.Update(float64(max(0, bnk.refusing)))
--- a/internal/edge/tokens/tokens_test.go
+++ b/internal/edge/tokens/tokens_test.go
@@ -171,6 +171,13 @@
 	if logs.FilterMessage("quota refusals begin").Len() != 1 || logs.FilterMessage("quota refusals end").Len() != 1 {
 		t.Fatalf("log %+v", logs.All())
 	}
+	// The end is logged also when the team has lost its limit meanwhile; otherwise it counts as refusing in the metrics for good.
+	flt.run(clk, 20, 100)
+	flt.setTeams(3)
+	flt.run(clk, 100, 0)
+	if logs.FilterMessage("quota refusals begin").Len() != 2 || logs.FilterMessage("quota refusals end").Len() != 2 {
+		t.Fatalf("log %+v", logs.All())
+	}
 }
 
 // Guards against tokens that are subtracted when they can't be sent.
--- a/internal/steer/quota/state.go
+++ b/internal/steer/quota/state.go
@@ -19,27 +19,37 @@
 	Refused int64
 }
 
-// Changes returns the changes since the last call.
+// Changes returns the changes since the last call. Refusals of a team that no longer has a limit have ended.
 func (ldg *Ledger) Changes(now time.Time) (chs []Change) {
+	for name, bkt := range ldg.removed {
+		bkt.lastRefusal = time.Time{}
+		chs = append(chs, bkt.changes(name, now)...)
+	}
 	for name, bkt := range ldg.teams {
-		refusing := !bkt.lastRefusal.IsZero() && now.Sub(bkt.lastRefusal) < quietTime
-		if refusing == bkt.refusing {
-			continue
-		}
-		chs = append(chs, Change{
-			Team:     name,
-			Refusing: refusing,
-			Refused:  bkt.episode,
-		})
-		bkt.refusing = refusing
-		if !refusing {
-			bkt.episode = 0
-		}
+		chs = append(chs, bkt.changes(name, now)...)
 	}
 	slices.SortFunc(chs, func(one, two Change) int { return cmp.Compare(one.Team, two.Team) })
 	return chs
 }
 
+// changes returns the change of a team since the last call, if there is one.
+func (bkt *bucket) changes(name cardamompass.TeamName, now time.Time) (chs []Change) {
+	refusing := !bkt.lastRefusal.IsZero() && now.Sub(bkt.lastRefusal) < quietTime
+	if refusing == bkt.refusing {
+		return nil
+	}
+	chg := Change{
+		Team:     name,
+		Refusing: refusing,
+		Refused:  bkt.episode,
+	}
+	bkt.refusing = refusing
+	if !refusing {
+		bkt.episode = 0
+	}
+	return []Change{chg}
+}
+
 // Total returns the numbers of all teams that have or had a limit.
 func (ldg *Ledger) Total() (cnt Counts) {
 	cnt = ldg.past
