--- a/internal/fleet/view/slow_test.go
+++ b/internal/fleet/view/slow_test.go
@@ -275,3 +275,40 @@
 	slf.sto.SetFaults(pstore.Faults{})
 	waitFor(t, bound, "the end of the outage", func() bool { return slf.OutageAge() == 0 })
 }
+
+// Guards against changes that are never read while there is no configuration: the response to the watch would take long, and the read of
+// the configuration in its place failed each time.
+func TestChangesWithoutTable(t *testing.T) {
+	for _, largeHistory := range []bool{false, true} {
+		t.Run(fmt.Sprint("versions in the history: ", largeHistory), func(t *testing.T) {
+			slf := followSlowly(t)
+			if !largeHistory {
+				slf.sto.Delete("op/config")
+				waitFor(t, changeBound, "the store", func() bool { return slf.StoreAge() < 300*time.Millisecond })
+				time.Sleep(500 * time.Millisecond)
+			}
+			slf.link.Cut()
+			if largeHistory {
+				slf.configure(2, largeTable)
+				slf.sto.Delete("op/config")
+			}
+			for num := range 450 {
+				slf.sto.Put(fmt.Sprint("servers/i-", num), map[string]any{"addr": strings.Repeat("a", 2000)})
+			}
+			slf.sto.Put("op/evacuate/z-1", 1)
+			if err := slf.link.Heal(); err != nil {
+				t.Fatal(err)
+			}
+			waitFor(t, 10*time.Second, "change", func() bool {
+				return slf.View().Evacuated("z-1") && slf.OutageAge() == 0
+			})
+			revision := slf.View().Revision
+			slf.sto.Put("vm/none", 1)
+			waitFor(t, 10*time.Second, "further revision", func() bool { return slf.View().Revision > revision })
+			time.Sleep(time.Second)
+			if rejected := slf.logs.FilterMessage("entry rejected").Len(); rejected > 2*451 {
+				t.Errorf("%d changes read instead of 451", rejected)
+			}
+		})
+	}
+}
