front: return the token when the caller has left before anything was sent

Cause: a request whose caller disconnected between two attempts that reached no target ended without returning its token.

Change: run returns the token at its end if no attempt is in flight, whatever the result. An attempt that is cancelled may still reach its target; its token is not returned.

--- a/internal/edge/front/dispatch.go
+++ b/internal/edge/front/dispatch.go
@@ -75,6 +75,9 @@
 	inFlight := make(map[*attempt]bool)
 	defer func() {
 		close(dsp.ended)
+		if len(inFlight) == 0 { // an attempt that is cancelled may reach its target
+			dsp.returnToken()
+		}
 		for atm := range inFlight {
 			atm.cancel()
 		}
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -271,7 +271,6 @@
 	var den *deniedError
 	var qta *quotaError
 	isFailure := errors.As(err, &fai)
-	dsp.returnToken()
 	switch {
 	case errors.As(err, &den): // only if the request has not run
 		exc.writeDenied(den)
--- a/internal/edge/front/quota_test.go
+++ b/internal/edge/front/quota_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -171,3 +172,28 @@
 	req.Header.Set("Credential", secret+key)
 	return req
 }
+
+// Guards against the token of a request that has reached no target and is lost because its caller has left.
+func TestQuotaWhenCallerLeaves(t *testing.T) {
+	fxt := newFixture(t, 2)
+	fxt.apply(teamTable(2, "one"))
+	for _, stop := range fxt.stops {
+		stop()
+	}
+	fxt.quota.left = 5
+	ctx, cancel := context.WithCancel(t.Context())
+	fxt.onDial = func() {
+		cancel()
+		time.Sleep(50 * time.Millisecond) // until the front notices that the connection is closed
+	}
+	if rsp, err := http.DefaultClient.Do(withKey(fxt.request(ctx, "/write/a", "left"), "one")); err == nil {
+		rsp.Body.Close()
+		t.Fatalf("status %d", rsp.StatusCode)
+	}
+	for end := time.Now().Add(time.Second); fxt.front.Active() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if left, taken := fxt.quota.state(); left != 5 || taken != 1 {
+		t.Errorf("%d tokens left, %d taken", left, taken)
+	}
+}
