--- a/internal/edge/front/dispatch.go
+++ b/internal/edge/front/dispatch.go
@@ -44,8 +44,10 @@
 	results  chan *attempt
 	ended    chan struct{} // closed when no more results are received
 	hedging  hedging
-	// tokenAt is when the token of the team's quota was taken that the request holds; zero if it holds none.
-	tokenAt time.Time
+	// tokenAt is when the token of a quota was taken that the request holds, zero if it holds none; tokenTeam is the team that it was taken
+	// from. The team of the request may change with the table.
+	tokenAt   time.Time
+	tokenTeam cardamompass.TeamName
 }
 
 // noTargetError reports that no target can be used now.
@@ -73,6 +75,9 @@
 	inFlight := make(map[*attempt]bool)
 	defer func() {
 		close(dsp.ended)
+		if len(inFlight) == 0 { // an attempt that is cancelled may reach its target
+			dsp.returnToken()
+		}
 		for atm := range inFlight {
 			atm.cancel()
 		}
