pipe: the first response doesn't wait for its own turn

Cause: without memory to hold it, a response waits until the writer reaches it. The writer of a connection runs in the goroutine of the first handler and starts when this has ended, so a long first response waited for itself until the caller disconnected.

Change: the turn of the first response comes when the connection is hijacked.

Evidence: TestFirstResponseWithoutMemory (3 MiB response, 1 MiB memory) got nothing within 10 s before, and passes now. go test -race ./internal/edge/pipe passes (11 s).

--- a/internal/edge/pipe/first.go
+++ b/internal/edge/pipe/first.go
@@ -75,6 +75,7 @@
 	lop.con.StartRequest()
 	already, _ := buf.Peek(buf.Reader.Buffered()) // can't fail
 	lop.psr = newParser(lop.con, already, fst.req.Method)
+	close(lop.first.turn) // its handler runs in the goroutine of the writer, which can't do this before the handler has ended
 }
 
 // begin decides that the response is written through net/http, unless the connection was taken over. It returns where to write.
--- a/internal/edge/pipe/response.go
+++ b/internal/edge/pipe/response.go
@@ -45,7 +45,8 @@
 	short      bool // the body is shorter than its stated length
 	closeAfter bool // what follows on the connection can't be read
 
-	turn chan struct{} // closed when all responses before it are written
+	// turn is closed when all responses before it are written; that of the first response when the connection is hijacked.
+	turn chan struct{}
 	done chan struct{} // closed when the response is complete
 
 	mu       sync.Mutex
--- a/internal/edge/pipe/write.go
+++ b/internal/edge/pipe/write.go
@@ -79,7 +79,9 @@
 
 // answer writes a response when it is complete. It returns false if the connection must close at once.
 func (lop *loop) answer(rsp *response) (ok bool) {
-	close(rsp.turn)
+	if rsp != lop.first {
+		close(rsp.turn)
+	}
 	select {
 	case <-rsp.done:
 	case <-lop.ended():
