pipe: callers that end their side still get whole responses

Cause: the end of the caller's stream closed the connection. A response that was whole and in part written was cut, and so was that of a request that runs only once and is not cancelled. net/http cancels the requests and writes what the handlers give.

Change: the end of the stream cancels all that runs and lets nothing more be dispatched; the writer goes on up to the first response that is not whole. Errors of the connection close it at once, as before.

Evidence: TestHalfClosedWhileReading.

--- a/internal/edge/pipe/fault_test.go
+++ b/internal/edge/pipe/fault_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	"cardamompass/internal/edge/pipe"
 )
@@ -24,3 +26,42 @@
 		}
 	}
 }
+
+// Guards against a response that is cut because its caller has ended its own side while it reads the response, which net/http permits.
+func TestHalfClosedWhileReading(t *testing.T) {
+	const length = 9 << 20
+	for name, limit := range map[string]int{"one": 1, "pipelined": 2} {
+		t.Run(name, func(t *testing.T) {
+			sit := newSizedSite(t, pipe.Config{})
+			cal := sit.dial()
+			_ = cal.SetReadBuffer(32 << 10)
+			text := get(fmt.Sprintf("/read/slow-0?%d", length))
+			if limit > 1 {
+				text += get("/read/1?1")
+			}
+			cal.send(text)
+			if limit > 1 {
+				sit.expect(sit.begun, "/read/1")
+			}
+			sit.release("/read/slow-0")
+			if _, err := cal.rdr.Peek(1); err != nil {
+				t.Fatal(err)
+			}
+			_ = cal.CloseWrite()
+			time.Sleep(quiet)
+			for num := range limit {
+				want := length
+				if num > 0 {
+					want = 1
+				}
+				rsp, err := http.ReadResponse(cal.rdr, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if body, err := io.ReadAll(rsp.Body); err != nil || len(body) != want {
+					t.Fatalf("%d bytes of %d, error %v", len(body), want, err)
+				}
+			}
+		})
+	}
+}
--- a/internal/edge/pipe/loop.go
+++ b/internal/edge/pipe/loop.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -36,12 +37,12 @@
 	closing bool        // no further request is dispatched; the connection closes when queue is empty
 	waiting bool        // the reader waits for the first byte of a request
 	linger  bool        // all is answered and the caller is to close the connection
-	aborted bool        // abort was called
 	reason  string      // why the connection ended
 
 	held    atomic.Int64  // memory of the responses in bytes
 	room    chan struct{} // wakes the reader
 	ready   chan struct{} // wakes the writer
+	closed  chan struct{} // closed by abort
 	readEnd chan struct{} // closed when the reader has ended
 
 	// requests counts those read by the loop, ahead those dispatched before the one before was answered, pauses those of reading. The
@@ -49,7 +50,7 @@
 	requests, ahead, pauses int
 }
 
-// ended returns a channel that is closed when the connection has ended.
+// ended returns a channel that is closed when nothing more may run for the connection.
 func (lop *loop) ended() (chn <-chan struct{}) { return lop.first.req.Context().Done() }
 
 // abort ends the connection: all that runs for it is cancelled and the memory of its responses is released. first is set for the first
@@ -57,7 +58,12 @@
 func (lop *loop) abort(reason string) (first bool) {
 	lop.mu.Lock()
 	defer lop.mu.Unlock()
-	first, lop.aborted = !lop.aborted, true
+	select {
+	case <-lop.closed:
+	default:
+		first = true
+		close(lop.closed)
+	}
 	if lop.reason == "" {
 		lop.reason = reason
 	}
@@ -70,6 +76,13 @@
 	return first
 }
 
+// hangUp is called when the caller has ended its side of the connection. All that runs is cancelled. The caller may still read: it gets
+// the responses up to the first one that is not whole, as from net/http.
+func (lop *loop) hangUp() {
+	lop.cancel()
+	lop.stop("caller disconnected")
+}
+
 // stop makes the connection end when all requests in progress are answered.
 func (lop *loop) stop(reason string) {
 	lop.mu.Lock()
@@ -135,7 +148,7 @@
 	}
 	if ahead && sock.HungUp(lop.con) {
 		lop.leaveGate(rsp)
-		lop.abort("caller disconnected")
+		lop.hangUp()
 		return false
 	}
 	return lop.dispatch(rsp, lop.pip.cfg.Handler) && !rsp.final
@@ -144,11 +157,14 @@
 // readFailed ends the connection after an error of it. After the timeout of a header, requests in progress are answered.
 func (lop *loop) readFailed(err error) {
 	var ner net.Error
-	if errors.As(err, &ner) && ner.Timeout() {
+	switch {
+	case errors.As(err, &ner) && ner.Timeout():
 		lop.stop("timeout")
-		return
+	case errors.Is(err, io.EOF):
+		lop.hangUp()
+	default:
+		lop.abort("caller disconnected")
 	}
-	lop.abort("caller disconnected")
 }
 
 // awaitBytes waits for the first byte of a request. The time without a request is limited while all are answered.
@@ -207,7 +223,7 @@
 		return false
 	case <-tck.C:
 		if sock.HungUp(lop.con) {
-			lop.abort("caller disconnected")
+			lop.hangUp()
 			return false
 		}
 	}
@@ -286,15 +302,8 @@
 		defer close(handled)
 		lop.handle(rsp, hnd)
 	}()
-	for running := true; running; {
-		if !lop.pause(tck, handled) {
-			return false
-		}
-		select {
-		case <-handled:
-			running = false
-		default:
-		}
+	if !lop.awaitHandler(tck, handled) {
+		return false
 	}
 	if bdy != nil && !bdy.discard(lop.con) {
 		rsp.closeAfter = true
@@ -304,6 +313,23 @@
 	return lop.awaitAnswers(tck)
 }
 
+// awaitHandler waits until a handler has ended. It returns false if the connection was closed before.
+func (lop *loop) awaitHandler(tck *time.Ticker, handled <-chan struct{}) (ok bool) {
+	for lop.pause(tck, handled) {
+		select {
+		case <-handled:
+			return true
+		default:
+		}
+	}
+	select {
+	case <-handled:
+		return true
+	case <-lop.closed:
+		return false
+	}
+}
+
 // awaitAnswers waits until all requests are answered. It returns false if no further one may be dispatched.
 func (lop *loop) awaitAnswers(tck *time.Ticker) (ok bool) {
 	for {
--- a/internal/edge/pipe/pipe.go
+++ b/internal/edge/pipe/pipe.go
@@ -183,6 +183,7 @@
 		wrt:     bufio.NewWriter(out),
 		room:    make(chan struct{}, 1),
 		ready:   make(chan struct{}, 1),
+		closed:  make(chan struct{}),
 		readEnd: make(chan struct{}),
 	}
 	lop.first = newResponse(lop, fst.req, fst.hdr)
--- a/internal/edge/pipe/response.go
+++ b/internal/edge/pipe/response.go
@@ -194,7 +194,7 @@
 	}
 	select {
 	case <-rsp.turn:
-	case <-rsp.lop.ended():
+	case <-rsp.lop.closed:
 		return 0, errEnded
 	}
 	rsp.direct = true
--- a/internal/edge/pipe/write.go
+++ b/internal/edge/pipe/write.go
@@ -84,7 +84,7 @@
 	}
 	select {
 	case <-rsp.done:
-	case <-lop.ended():
+	case <-lop.closed:
 		return false
 	}
 	if rsp.aborted {
