pipe: dispatch nothing behind a response that failed

Cause: a handler that ends without a whole response ends the connection once the writer reaches it. Until then the reader went on to dispatch requests behind it, whose responses can't be written; their callers resend them.

Change: the end of such a handler stops the reader. What was dispatched before it is handled as before. A body that is shorter than its stated length is not covered: its header must stay that of net/http (TestEqualToNetHTTP), and the front sends whole bodies only.

--- a/internal/edge/pipe/fault_test.go
+++ b/internal/edge/pipe/fault_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,3 +66,19 @@
 		})
 	}
 }
+
+// Guards against a request that is dispatched although the connection ends before its response, because one before it has failed.
+func TestNothingBehindFailure(t *testing.T) {
+	sit := newSite(t, nil, pipe.Config{})
+	cal := sit.takeOver()
+	cal.send(get("/read/abort"))
+	sit.expect(sit.begun, "GET /read/abort")
+	time.Sleep(quiet)
+	cal.send(get("/read/1"))
+	sit.expectNone(sit.begun)
+	sit.release("/read/slow-0")
+	cal.expect("GET /read/slow-0 ", "GET /read/0 ")
+	if rest, _ := io.ReadAll(cal.rdr); strings.TrimSpace(string(rest)) != "" {
+		t.Fatalf("got %q", rest)
+	}
+}
--- a/internal/edge/pipe/loop.go
+++ b/internal/edge/pipe/loop.go
@@ -260,6 +260,9 @@
 	}
 	go func() {
 		lop.handle(rsp, hnd)
+		if rsp.aborted {
+			lop.stop("no whole response") // nothing after it is answered
+		}
 		close(rsp.done)
 	}()
 	return true
