pipe: don't reset a connection whose last response is on its way

Cause: a connection without unanswered requests was closed at once when its caller had ended its side or the VM stopped. With unread requests in the socket, the close resets the connection, and a caller that still reads loses responses that were already written.

Change: if bytes are unread, the loop ends its side and reads for up to 0.5 s first, as after a last response.

--- a/internal/edge/pipe/fault_test.go
+++ b/internal/edge/pipe/fault_test.go
@@ -82,3 +82,21 @@
 		t.Fatalf("got %q", rest)
 	}
 }
+
+// Guards against a connection that is reset, with the responses on their way, because it is closed while requests of a caller that has
+// ended its side are unread.
+func TestHalfClosedWithUnreadRequests(t *testing.T) {
+	sit := newSizedSite(t, pipe.Config{})
+	for range 200 {
+		cal := sit.dial()
+		cal.send(get("/read/a?100000") + get("/read/a?100000") + strings.Repeat(get("/write/a?10"), 300))
+		_ = cal.CloseWrite()
+		if _, err := io.Copy(io.Discard, cal.rdr); err != nil {
+			t.Fatal(err)
+		}
+		cal.Close()
+		for len(sit.begun) > 0 {
+			<-sit.begun
+		}
+	}
+}
--- a/internal/edge/pipe/loop.go
+++ b/internal/edge/pipe/loop.go
@@ -79,8 +79,8 @@
 // hangUp is called when the caller has ended its side of the connection. All that runs is cancelled. The caller may still read: it gets
 // the responses up to the first one that is not whole, as from net/http.
 func (lop *loop) hangUp() {
-	lop.cancel()
 	lop.stop("caller disconnected")
+	lop.cancel()
 }
 
 // stop makes the connection end when all requests in progress are answered.
@@ -91,6 +91,10 @@
 		lop.reason = reason
 	}
 	idle := len(lop.queue) == 0 && !lop.linger
+	if idle && sock.Peek(lop.con) == sock.DataPending {
+		// To close with unread bytes would reset the connection, and the caller might not get the last response.
+		idle, lop.linger = false, true
+	}
 	lop.mu.Unlock()
 	notify(lop.room)
 	notify(lop.ready)
