pipe: cut no caller for a response that never fits into the memory

Cause: without memory for a response, the caller with more held than its size is disconnected. A response of more than 7/16 of the memory does not fit even into an empty pool and is written without a copy anyway, so that the other caller was cut in vain.

Change: buffer.Pool.Holds tells whether a body can fit at all; only then is a caller cut.

--- a/internal/edge/buffer/buffer.go
+++ b/internal/edge/buffer/buffer.go
@@ -80,6 +80,9 @@
 	return nil
 }
 
+// Holds reports whether a body of this size fits into the pool while it is empty.
+func (pol *Pool) Holds(size int64) (ok bool) { return size <= firstChunk || pol.fits(size, 0) }
+
 // fits reports whether a long body may have this size while other bodies hold others bytes: without the part that is reserved for
 // short bodies, it must leave as much memory free as it takes.
 func (pol *Pool) fits(size, others int64) (ok bool) {
--- a/internal/edge/pipe/fault_test.go
+++ b/internal/edge/pipe/fault_test.go
@@ -100,3 +100,27 @@
 		}
 	}
 }
+
+// Guards against a caller that is cut for a response that does not fit into the memory even without the caller.
+func TestNoCutInVain(t *testing.T) {
+	sit := newSizedSite(t, pipe.Config{
+		MaxRequests: 40,
+		Memory:      1 << 20,
+	})
+	many := sit.dial()
+	many.send(get("/read/slow-0?1") + strings.Repeat(get("/read/a?32000"), 30))
+	for range 30 {
+		sit.expect(sit.begun, "/read/a")
+	}
+	eventually(t, "responses are held", func() bool { return sit.pipe.Stats().Held == 30*32000 })
+	long := sit.dial()
+	long.send(get("/read/slow-1?600000") + get("/read/b?1"))
+	sit.expect(sit.begun, "/read/b")
+	sit.release("/read/slow-1")
+	if _, body, _ := long.answer(); len(body) != 600000 {
+		t.Errorf("got %d bytes", len(body))
+	}
+	if cuts := sit.counter("slow-callers-cut"); cuts != 0 {
+		t.Errorf("%d callers cut", cuts)
+	}
+}
--- a/internal/edge/pipe/response.go
+++ b/internal/edge/pipe/response.go
@@ -150,7 +150,7 @@
 		if err != nil || !full {
 			return err == nil, err
 		}
-		if !rsp.lop.pip.cutLargest(rsp.lop.held.Load() + size) {
+		if !rsp.lop.pip.memory.Holds(size) || !rsp.lop.pip.cutLargest(rsp.lop.held.Load()+size) {
 			return false, nil
 		}
 	}
