--- a/internal/edge/pipe/response.go
+++ b/internal/edge/pipe/response.go
@@ -45,7 +45,8 @@
 	short      bool // the body is shorter than its stated length
 	closeAfter bool // what follows on the connection can't be read
 
-	turn chan struct{} // closed when all responses before it are written
+	// turn is closed when all responses before it are written; that of the first response when the connection is hijacked.
+	turn chan struct{}
 	done chan struct{} // closed when the response is complete
 
 	mu       sync.Mutex
@@ -149,7 +150,7 @@
 		if err != nil || !full {
 			return err == nil, err
 		}
-		if !rsp.lop.pip.cutLargest(rsp.lop.held.Load() + size) {
+		if !rsp.lop.pip.memory.Holds(size) || !rsp.lop.pip.cutLargest(rsp.lop.held.Load()+size) {
 			return false, nil
 		}
 	}
@@ -193,7 +194,7 @@
 	}
 	select {
 	case <-rsp.turn:
-	case <-rsp.lop.ended():
+	case <-rsp.lop.closed:
 		return 0, errEnded
 	}
 	rsp.direct = true
