front: no hedges for or beside requests that waited

Cause: with waiting on, launch chooses targets through the queue, which did not tell the hedges that a request waited or was refused. hedge.Input.Waited and LastRefusal stayed unset, so a request that had waited was hedged, and hedges took the room for which refused callers return.

Change: the choice through the queue notes refusals and ended waits. A request that has waited is not hedged, and none for a service while others for it wait.

Result: TestNoHedgeAfterRefusal/true and TestNoHedgeAfterWait got status 200 through a hedge; now 504 with one hedge rejected as waited.

--- a/internal/edge/front/dispatch.go
+++ b/internal/edge/front/dispatch.go
@@ -215,7 +215,11 @@
 	frt := dsp.exc.frt
 	if waiting {
 		chc, err = frt.waits.choose(ctx, dsp)
-		return chc, frt.cfg.Clock.Now(), err
+		now = frt.cfg.Clock.Now()
+		if err != nil || dsp.exc.waited > 0 {
+			dsp.noteNoTarget(second, now)
+		}
+		return chc, now, err
 	}
 	now = frt.cfg.Clock.Now()
 	chc, ok := frt.cfg.Balancer.Choose(dsp.query(second, now))
--- a/internal/edge/front/hedge.go
+++ b/internal/edge/front/hedge.go
@@ -20,7 +20,7 @@
 	mu      sync.Mutex
 	tracker *hedge.Tracker
 	limit   *hedge.Limit
-	// refusals is when a request for a service was last refused for lack of a target.
+	// refusals is when a request for a service was last refused for lack of a target, or ended its wait for one.
 	refusals map[cardamompass.ServiceName]time.Time
 }
 
@@ -95,6 +95,7 @@
 		Now:        now,
 	}
 	if inp.Percent > 0 {
+		inp.Waited = inp.Waited || dsp.exc.waited > 0 || frt.waits.anyWaits(dsp.exc.service)
 		frt.hedges.mu.Lock()
 		inp.LimitAllows = frt.hedges.limit.Allows(inp.Percent, now)
 		inp.LastRefusal = frt.hedges.refusals[dsp.exc.service]
@@ -123,7 +124,8 @@
 	}
 }
 
-// noteNoTarget records that no target can be used. A request that is refused has priority over hedges for the capacity that frees up.
+// noteNoTarget records that no target can be used, or that the request has waited for one. A request that is refused has priority over
+// hedges for the capacity that frees up.
 func (dsp *dispatch) noteNoTarget(second bool, now time.Time) {
 	if second || dsp.hedging.percent == 0 {
 		return
--- a/internal/edge/front/hedge_test.go
+++ b/internal/edge/front/hedge_test.go
@@ -114,16 +114,35 @@
 	}
 }
 
-// Guards against a hedge that takes the capacity that a refused request returns for.
+// Guards against a hedge that takes the capacity that a refused request returns for, also if the queue of waiting requests refused it.
 func TestNoHedgeAfterRefusal(t *testing.T) {
-	fxt := newFixture(t, 3)
+	for _, waiting := range []bool{false, true} {
+		t.Run(fmt.Sprint(waiting), func(t *testing.T) {
+			fxt := newFixture(t, 3)
+			fxt.waiting.Store(waiting)
+			fxt.steering.Store(&steer.Settings{HedgeLimitPercent: 20})
+			fxt.silence("/hedged/a", 10)
+			if status, _, _ := fxt.send("/away/a", "r-away"); status != 503 {
+				t.Fatalf("status %d", status)
+			}
+			if status, _, _ := fxt.send("/hedged/a", "r-last"); status != 504 || fxt.hedges("waited") != "1" {
+				t.Fatalf("status %d, %s hedges rejected as waited", status, fxt.hedges("waited"))
+			}
+		})
+	}
+}
+
+// Guards against a hedge of a request that has waited for room itself.
+func TestNoHedgeAfterWait(t *testing.T) {
+	fxt := newWaitFixture(t)
 	fxt.steering.Store(&steer.Settings{HedgeLimitPercent: 20})
 	fxt.silence("/hedged/a", 10)
-	if status, _, _ := fxt.send("/away/a", "r-away"); status != 503 {
-		t.Fatalf("status %d", status)
-	}
-	if status, _, _ := fxt.send("/hedged/a", "r-last"); status != 504 || fxt.hedges("waited") != "1" {
-		t.Fatalf("status %d, %s hedges rejected as waited", status, fxt.hedges("waited"))
+	fxt.fill()
+	status := fxt.start(t.Context(), "/hedged/a", "r-last")
+	fxt.release()
+	fxt.room <- struct{}{}
+	if got := <-status; got != 504 || fxt.hedges("waited") != "1" {
+		t.Fatalf("status %d, %s hedges rejected as waited", got, fxt.hedges("waited"))
 	}
 }
 
--- a/internal/edge/front/waitreq.go
+++ b/internal/edge/front/waitreq.go
@@ -5,6 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"cardamompass"
 	"cardamompass/internal/obs/metric"
 	"cardamompass/internal/steer/hedge"
 	"cardamompass/internal/steer/place"
@@ -72,6 +73,20 @@
 	}
 }
 
+// anyWaits reports whether requests for a service wait for room.
+func (rom *waitRoom) anyWaits(svc cardamompass.ServiceName) (ok bool) {
+	if !rom.active() {
+		return false
+	}
+	srq := rom.queue(svc, false)
+	if srq == nil {
+		return false
+	}
+	srq.mu.Lock()
+	defer srq.mu.Unlock()
+	return len(srq.waiters) > 0
+}
+
 // updateMetrics updates the metrics of promises and of the size of a queue. The caller holds the lock of srq.
 func (rom *waitRoom) updateMetrics(srq *serviceQueue) {
 	sts, old := srq.que.Stats(), srq.stats
--- a/internal/steer/hedge/decide.go
+++ b/internal/steer/hedge/decide.go
@@ -124,8 +124,8 @@
 
 	// LimitAllows is the result of Limit.Allows.
 	LimitAllows bool
-	// Waited is set when the request waited for a target or was refused by one. LastRefusal is when a request for the service last waited
-	// or was refused.
+	// Waited is set when the request waited for a target or was refused by one, or when others for the service wait. LastRefusal is when a
+	// request for the service last waited or was refused.
 	Waited      bool
 	LastRefusal time.Time
 	// Load returns the mean load of the targets of the service, relative to their slots. It is called only if it matters.
