front: a request that targets refused keeps its token used

Cause: the token was returned for each request that had not run. One that a target refused (shed) has arrived there, and the bound on the requests of a team counts all that arrive. A team whose requests were refused could send more than its quota.

Change: a token is returned only if no attempt reached a target.

--- a/internal/edge/front/quota.go
+++ b/internal/edge/front/quota.go
@@ -43,10 +43,10 @@
 	return nil
 }
 
-// returnToken returns the token of a request that has not run.
+// returnToken returns the token of a request that has not been sent. A target that refused it has received it, and the quota counts that.
 func (dsp *dispatch) returnToken() {
 	frt := dsp.exc.frt
-	if !dsp.tokenAt.IsZero() && frt.cfg.Clock.Now().Sub(dsp.tokenAt) < tokenLife {
+	if !dsp.tokenAt.IsZero() && dsp.sent == 0 && frt.cfg.Clock.Now().Sub(dsp.tokenAt) < tokenLife {
 		frt.cfg.Quota.Return(dsp.exc.team.Name)
 	}
 	dsp.tokenAt = time.Time{}
