front: check the home regions of the team again after a wait

Cause: the place of a waiting request is chosen with the team as it was when the request arrived. A wait may last up to half of the request's time, which is longer than the 3 s within which a new table applies; the check after the wait looked at the key alone.

Change: if the newest table does not allow the region of the chosen target for the team, the place is given back and the request is refused with 503.

Result: TestTeamChangesDuringWait/region got 200 from a target outside of the home regions; now 503 without a run, mean load 0.

--- a/internal/edge/front/dispatch.go
+++ b/internal/edge/front/dispatch.go
@@ -160,7 +160,7 @@
 		return nil, err
 	}
 	if waiting {
-		if err = dsp.afterWait(); err != nil {
+		if err = dsp.afterWait(chc); err != nil {
 			frt.waits.giveBack(dsp, chc)
 			return nil, err
 		}
@@ -201,11 +201,19 @@
 	return atm, nil
 }
 
-// afterWait repeats the checks before a send for a request that may have waited.
-func (dsp *dispatch) afterWait() (err error) {
+// afterWait repeats the checks before a send for a request that may have waited for the place of chc. The team may have got other home
+// regions since; the request is then refused, since its place was chosen for the former ones.
+func (dsp *dispatch) afterWait(chc place.Choice) (err error) {
 	if err = dsp.exc.checkAgain(); err != nil {
 		return err
 	}
+	if !dsp.exc.team.AllowsRegion(chc.Instance.Region) {
+		return dsp.noTarget(place.Choice{
+			Rejected: place.Rejected{
+				Away: 1,
+			},
+		})
+	}
 	return dsp.takeToken()
 }
 
--- a/internal/edge/front/waiting_test.go
+++ b/internal/edge/front/waiting_test.go
@@ -170,6 +170,50 @@
 	}
 }
 
+// Guards against a request that is sent where its team must not be served, or after its key was revoked, since the table changed during
+// the wait.
+func TestTeamChangesDuringWait(t *testing.T) {
+	for _, tst := range []struct {
+		name   string
+		change func(tbl *cardamompass.RoutingTable)
+		key    string
+		status int
+	}{
+		{"revoked", func(*cardamompass.RoutingTable) {}, "two", http.StatusUnauthorized},
+		{"region", func(tbl *cardamompass.RoutingTable) {
+			tbl.Teams["one"].HomeRegions = []cardamompass.Region{"elsewhere"}
+		}, "one", http.StatusServiceUnavailable},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			fxt := newWaitFixture(t)
+			fxt.apply(teamTable(2, "one"))
+			runs := fxt.runs()
+			fxt.fill()
+			status := make(chan int, 1)
+			go func() { status <- fxt.sendKey("/patient/a", "r-1", "one") }()
+			fxt.awaitWaiting(1)
+			chg := teamTable(3, tst.key)
+			tst.change(chg.Table)
+			fxt.apply(chg)
+			fxt.release()
+			if got := <-status; got != tst.status || fxt.runs() != runs {
+				t.Fatalf("status %d after %d runs, want %d", got, fxt.runs()-runs, tst.status)
+			}
+			if load := fxt.balancer.MeanLoad(service, &chg.Table.Routes[0], time.Now()); load > 0 {
+				t.Errorf("mean load %v: a place was not given back", load)
+			}
+		})
+	}
+}
+
+// awaitWaiting returns when a number of requests are active and have had time to begin to wait.
+func (fxt *fixture) awaitWaiting(count int) {
+	for fxt.front.Active() < count {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(30 * time.Millisecond)
+}
+
 // Guards against a request that waits until its deadline when no room appears.
 func TestWaitEnds(t *testing.T) {
 	fxt := newWaitFixture(t)
