front: end waits for which no target is left

Cause: only the arrival checked whether some target is merely full. A request whose targets all left or backed off during its wait waited on for up to half of its time, though it certainly can't be served.

Change: a pass ends the wait of a request for which it finds no such target, with the refusal that it would have got on arrival.

Result: TestTargetsLeaveDuringWait still waited after 500 ms; now it is refused with 503 at the next pass.

--- a/internal/edge/front/waiting.go
+++ b/internal/edge/front/waiting.go
@@ -236,6 +236,7 @@
 	for _, ref := range srq.que.Expire(now) {
 		rom.refuse(srq, ref)
 	}
+	hopeless := make(map[*wait.Item]error)
 	srq.que.Pass(now, func(itm *wait.Item) (ok bool) {
 		dsp := srq.waiters[itm].dsp
 		qry := dsp.query(false, now)
@@ -246,9 +247,12 @@
 			rom.finish(srq, itm, waitResult{
 				chc: chc,
 			})
+		} else if !dsp.mayWait(chc) {
+			hopeless[itm] = dsp.noTarget(chc)
 		}
 		return ok
 	})
+	rom.endHopeless(srq, hopeless)
 	rom.updateMetrics(srq)
 }
 
--- a/internal/edge/front/waiting_test.go
+++ b/internal/edge/front/waiting_test.go
@@ -214,6 +214,35 @@
 	time.Sleep(30 * time.Millisecond)
 }
 
+// Guards against a request that waits on although no target can have room for it any more.
+func TestTargetsLeaveDuringWait(t *testing.T) {
+	fxt := newWaitFixture(t)
+	fxt.fill()
+	status := fxt.start(t.Context(), waitPaths[1], "r-1")
+	for num := range fxt.targets {
+		ins := fxt.instance(num)
+		ins.Leaving = true
+		fxt.apply(cardamompass.Change{Instance: &ins})
+	}
+	select {
+	case got := <-status:
+		if got != http.StatusServiceUnavailable {
+			t.Errorf("status %d", got)
+		}
+	case <-time.After(500 * time.Millisecond): // it may wait for 1.5 s
+		t.Error("the request still waits")
+	}
+}
+
+// instance returns a target as the view has it.
+func (fxt *fixture) instance(num int) (ins cardamompass.Instance) {
+	ins, ok := fxt.view().Instance(cardamompass.InstanceID(fmt.Sprint("i-", num)))
+	if !ok {
+		fxt.t.Fatal("no such target")
+	}
+	return ins
+}
+
 // Guards against a request that waits until its deadline when no room appears.
 func TestWaitEnds(t *testing.T) {
 	fxt := newWaitFixture(t)
--- a/internal/edge/front/waitreq.go
+++ b/internal/edge/front/waitreq.go
@@ -73,6 +73,20 @@
 	}
 }
 
+// endHopeless ends the waits of requests for which no target can have room soon: the targets have left, or back off. The caller holds the
+// lock of srq.
+func (rom *waitRoom) endHopeless(srq *serviceQueue, hopeless map[*wait.Item]error) {
+	for itm, err := range hopeless {
+		if _, ok := srq.waiters[itm]; !ok {
+			continue // a later try in the same pass found room
+		}
+		srq.que.Remove(itm)
+		rom.finish(srq, itm, waitResult{
+			err: err,
+		})
+	}
+}
+
 // anyWaits reports whether requests for a service wait for room.
 func (rom *waitRoom) anyWaits(svc cardamompass.ServiceName) (ok bool) {
 	if !rom.active() {
