wait: the rate of room starts anew after a pause

Cause: after a time without ends, the first ones were divided by the whole window of 2 s, since only the first end of the process shortened it. A burst after a pause was estimated at a quarter of its rate in its first half second and its requests were refused as late.

Change: the window begins anew with the first end after a window without any.

--- a/internal/steer/wait/estimate.go
+++ b/internal/steer/wait/estimate.go
@@ -30,7 +30,16 @@
 type roomRate struct {
 	counts [int(rateWindow / rateStep)]int
 	step   int64 // number of the newest step since the Unix epoch
-	first  time.Time
+	// first is the first end since the start or since a window without any.
+	first time.Time
+}
+
+// total returns the number of ends within the window.
+func (rat *roomRate) total() (sum int) {
+	for _, cnt := range rat.counts {
+		sum += cnt
+	}
+	return sum
 }
 
 // advance clears the steps that have left the window.
@@ -48,7 +57,7 @@
 
 func (rat *roomRate) add(now time.Time) {
 	rat.advance(now)
-	if rat.first.IsZero() {
+	if rat.total() == 0 {
 		rat.first = now
 	}
 	rat.counts[rat.step%int64(len(rat.counts))]++
@@ -57,13 +66,9 @@
 // perSecond returns the rate at which requests ended.
 func (rat *roomRate) perSecond(now time.Time) (rate float64) {
 	rat.advance(now)
-	total := 0
-	for _, cnt := range rat.counts {
-		total += cnt
-	}
-	// A VM that has just started divides by the time since its first end, though not by less than a quarter of the window.
+	// After the start or a pause, the ends are divided by the time since the first one, though not by less than a quarter of the window.
 	span := min(rateWindow, max(rateWindow/4, now.Sub(rat.first)))
-	return max(minRate, float64(total)/span.Seconds())
+	return max(minRate, float64(rat.total())/span.Seconds())
 }
 
 // Ended records that a request of this VM to the service ended and gave up its room. In an overload each VM's requests end at the rate at
