wait: forget the correction of the estimate over time

Cause: the correction factor changes only when a wait ends. One learned at the end of a burst, up to 4, stayed for hours; with it, requests that could have waited are refused, so that no wait corrects it.

Change: it tends to 1 with a time constant of 30 s, which is chosen, not measured.

Result: TestCorrectionIsForgotten estimated 42 ms for a place in 10 ms five minutes after a burst; now below 12 ms.

--- a/internal/steer/wait/estimate.go
+++ b/internal/steer/wait/estimate.go
@@ -22,6 +22,9 @@
 	biasGain     = 0.1
 	maxBias      = 4.0
 	maxBiasRatio = 3.0
+	// biasDecay is the time constant with which the correction is forgotten. Without it, a factor that was learned at the end of a burst
+	// would refuse the requests of a later one, and no wait would correct it.
+	biasDecay = 30 * time.Second
 	// minCompared is the shortest estimate or wait that the correction factor distinguishes.
 	minCompared = 10 * time.Millisecond
 )
@@ -97,7 +100,12 @@
 // timeFor returns the estimated time until room has appeared for a number of requests of a priority.
 func (que *Queue) timeFor(count float64, priority int, now time.Time) (dur time.Duration) {
 	perSecond := que.room.perSecond(now) * que.shareOf(priority, now)
-	return time.Duration(que.bias * count / perSecond * float64(time.Second))
+	return time.Duration(que.correction(now) * count / perSecond * float64(time.Second))
+}
+
+// correction returns the factor by which the estimate is multiplied. It tends to 1 while no wait ends.
+func (que *Queue) correction(now time.Time) (factor float64) {
+	return math.Pow(que.bias, math.Exp(-now.Sub(que.biasAt).Seconds()/biasDecay.Seconds()))
 }
 
 // estimate returns the time until room appears for a new request: the number of requests before it in the order, and itself, divided by
@@ -147,7 +155,7 @@
 		return
 	}
 	ratio = min(maxBiasRatio, max(1/maxBiasRatio, ratio))
-	que.bias = min(maxBias, max(1/maxBias, que.bias*math.Pow(ratio, biasGain)))
+	que.bias, que.biasAt = min(maxBias, max(1/maxBias, que.correction(now)*math.Pow(ratio, biasGain))), now
 }
 
 const (
--- a/internal/steer/wait/pause_test.go
+++ b/internal/steer/wait/pause_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"cardamompass/internal/steer/wait"
 )
 
 // Guards against a rate that divides the ends since a pause by the time of the whole window, so that the first requests of a burst are
@@ -18,3 +20,22 @@
 		t.Fatalf("rate %.0f half a second after a pause, want 100", rate)
 	}
 }
+
+// Guards against a correction factor that is learned in a burst and makes the estimates of a later one wrong.
+func TestCorrectionIsForgotten(t *testing.T) {
+	que := newBusy(roomy)
+	for range 100 {
+		itm := add(t, que, request(wait.Flow{}))
+		que.Pass(itm.Request().Deadline, func(*wait.Item) bool { return true }) // after 10 s in place of 10 ms
+	}
+	at := begin.Add(5 * time.Minute)
+	for num := range 200 {
+		que.Ended(at.Add(time.Duration(num-199) * 10 * time.Millisecond))
+	}
+	req := request(wait.Flow{})
+	req.Objective, req.Deadline = at.Add(5*time.Second), at.Add(10*time.Second)
+	itm, _, _ := que.Add(req, at)
+	if itm == nil || itm.Estimate() > 12*time.Millisecond {
+		t.Fatalf("estimate %v at 100 per second, five minutes after a burst", itm.Estimate())
+	}
+}
--- a/internal/steer/wait/wait.go
+++ b/internal/steer/wait/wait.go
@@ -116,8 +116,9 @@
 	room   roomRate
 	// shortage tells how many of the recent requests found no room.
 	shortage shortage
-	// bias is the correction factor of the estimate, learned from the waits that have ended.
-	bias float64
+	// bias is the correction factor of the estimate at biasAt, learned from the waits that have ended.
+	bias   float64
+	biasAt time.Time
 	// sinceOldest counts the placements since the oldest request was placed or was the head of the order.
 	sinceOldest int
 	cursor      uint64 // number of the request after which a pass continues
