wait: a team has its weight from its first request on

Cause: the weight of a team was set when a request of it got room. Until then it was 1, while the weights of others were their rates, so that the requests of a new team were estimated behind all others and refused.

Change: the weight is set when a request is added, too.

Result: TestWeightOfNewTeam estimated 438 ms behind one request of the team at 100 per second; now below 50 ms.

--- a/internal/steer/wait/order.go
+++ b/internal/steer/wait/order.go
@@ -40,6 +40,14 @@
 	return flw
 }
 
+// setWeight sets the weight of the flow to that of its newest request.
+func (flw *flow) setWeight(weight float64) {
+	flw.weight = 1
+	if weight > 0 {
+		flw.weight = weight
+	}
+}
+
 // usage returns the number of requests that got room recently, decayed with usageDecay.
 func (flw *flow) usage(now time.Time) (count float64) {
 	return flw.used * math.Exp(-now.Sub(flw.usedAt).Seconds()/usageDecay.Seconds())
@@ -51,10 +59,7 @@
 func (que *Queue) recordUse(req Request, now time.Time) {
 	flw := que.flow(req.Flow)
 	flw.used, flw.usedAt = flw.usage(now)+1, now
-	flw.weight = 1
-	if req.Weight > 0 {
-		flw.weight = req.Weight
-	}
+	flw.setWeight(req.Weight)
 	if req.Returned {
 		que.stats.Kept++
 	}
--- a/internal/steer/wait/pause_test.go
+++ b/internal/steer/wait/pause_test.go
@@ -39,3 +39,18 @@
 		t.Fatalf("estimate %v at 100 per second, five minutes after a burst", itm.Estimate())
 	}
 }
+
+// Guards against a team that is estimated as if it had the least weight until its first request finds room.
+func TestWeightOfNewTeam(t *testing.T) {
+	que := newBusy(roomy)
+	old, other := request(wait.Flow{Team: "old"}), request(wait.Flow{Team: "new"})
+	old.Weight, other.Weight = 50, 50
+	que.Started(old, begin)
+	for range 40 {
+		add(t, que, old)
+	}
+	add(t, que, other)
+	if itm := add(t, que, other); itm.Estimate() > 50*time.Millisecond {
+		t.Fatalf("estimate %v at 100 per second behind one request of the team, want about 20 ms", itm.Estimate())
+	}
+}
--- a/internal/steer/wait/wait.go
+++ b/internal/steer/wait/wait.go
@@ -170,6 +170,7 @@
 	if que.stopped {
 		return nil, que.refusal(itm, ReasonStopped, now), nil
 	}
+	que.flow(req.Flow).setWeight(req.Weight)
 	itm.estimate = que.estimate(req, now)
 	if !que.servable(itm, now) {
 		return nil, que.refusal(itm, ReasonLate, now), nil
