front: requests without a rate have the mean weight

Cause: the weight of a team is its rate, and 0, no limit, became 1. Among teams with rates of 50 per second, a team without a limit and the requests of public routes thus had a fiftieth of the share of another, and were over their share after the first requests, so that their limit fell to half of the slots during a shortage.

Change: they have the mean of the rates of the teams of their priority.

--- a/internal/edge/front/export_test.go
+++ b/internal/edge/front/export_test.go
@@ -16,6 +16,11 @@
 	return fingerprint(received, frt.cfg.Protocol.ParseRequest(req.Header), body)
 }
 
+// Weight returns the weight of a team, nil for a public route, among the waiting requests of a priority.
+func Weight(tbl *cardamompass.RoutingTable, tea *cardamompass.Team, priority int) (share float64) {
+	return weight(tbl, tea, priority)
+}
+
 // WaitCrashChecks waits until all checks of broken connections have ended.
 func (frt *Front) WaitCrashChecks() { frt.crashChecks.Wait() }
 
--- a/internal/edge/front/waiting_test.go
+++ b/internal/edge/front/waiting_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cardamompass"
+	"cardamompass/internal/edge/front"
 	"cardamompass/internal/steer/place"
 )
 
@@ -121,6 +122,27 @@
 	}
 }
 
+// Guards against a request without a rate that counts as one of the smallest team: a team without a limit, and requests of public routes.
+func TestWeight(t *testing.T) {
+	small, large, unlimited := &cardamompass.Team{Rate: 10}, &cardamompass.Team{Rate: 90}, &cardamompass.Team{}
+	tbl := &cardamompass.RoutingTable{
+		Teams: map[cardamompass.TeamName]*cardamompass.Team{
+			"small": small, "large": large, "unlimited": unlimited, "other": {Rate: 1000, Priority: 1},
+		},
+	}
+	for _, tst := range []struct {
+		team     *cardamompass.Team
+		priority int
+		want     float64
+	}{
+		{small, 0, 10}, {large, 0, 90}, {unlimited, 0, 50}, {nil, 0, 50}, {nil, 1, 1000}, {nil, 2, 0},
+	} {
+		if got := front.Weight(tbl, tst.team, tst.priority); got != tst.want {
+			t.Errorf("weight %v of %+v at priority %d, want %v", got, tst.team, tst.priority, tst.want)
+		}
+	}
+}
+
 // Guards against requests that still wait when the VM ends, or that are refused with a status that leaves open whether they ran.
 func TestStopRefusesWaitingRequests(t *testing.T) {
 	fxt := newWaitFixture(t)
--- a/internal/edge/front/waitreq.go
+++ b/internal/edge/front/waitreq.go
@@ -35,12 +35,20 @@
 	return flw
 }
 
-// weight returns the share of the request's team relative to other teams: its rate, 0 if it has none.
-func (dsp *dispatch) weight() (share float64) {
-	if dsp.exc.team == nil {
-		return 0
+// weight returns the share of a team relative to the other teams of a priority: its rate. Requests without a rate, those of a team without
+// a limit and those of public routes, have the mean of the rates of the priority, 0 if there are none. The least weight would starve them.
+func weight(tbl *cardamompass.RoutingTable, tea *cardamompass.Team, priority int) (share float64) {
+	if tea != nil && tea.Rate > 0 {
+		return tea.Rate
 	}
-	return dsp.exc.team.Rate
+	sum, count := 0.0, 0
+	for _, oth := range tbl.Teams {
+		if oth.Priority == priority && oth.Rate > 0 {
+			sum += oth.Rate
+			count++
+		}
+	}
+	return sum / float64(max(1, count))
 }
 
 // waitRequest describes the request to the queue.
@@ -48,7 +56,7 @@
 	exc := dsp.exc
 	return wait.Request{
 		Flow:           dsp.flow(),
-		Weight:         dsp.weight(),
+		Weight:         weight(exc.vew.Table, exc.team, exc.priority()),
 		Returned:       dsp.returned,
 		Bytes:          int64(len(dsp.msg.Body)),
 		Work:           exc.frt.medianLatency(exc.route, 0) + hedge.CallerTransferTime,
