front: time hedges from the send after a wait

Cause: the timer of the hedge ran from the first attempt. If a retry then waited for room, the time passed during the wait, and the retry was hedged at the moment at which it was sent. The delay of a request that waited before its first attempt was not shortened by the wait, so that without a limit its hedge came after the objective could still be met.

Change: the timer starts anew after a retry that waited, and the wait counts as time that has passed. Without a wait nothing changes.

--- a/internal/edge/front/dispatch.go
+++ b/internal/edge/front/dispatch.go
@@ -92,7 +92,7 @@
 		return rep, err
 	}
 	tmr := dsp.exc.frt.cfg.Clock.NewTimer(dsp.hedgeDelay())
-	defer tmr.Stop()
+	defer func() { tmr.Stop() }()
 	for {
 		select {
 		case atm := <-dsp.results:
@@ -109,9 +109,14 @@
 			if !dsp.mayRetry(ctx) {
 				return dsp.finalResult(atm, nil)
 			}
+			waited := dsp.exc.waited
 			if err = launch(false); err != nil {
 				return dsp.finalResult(atm, err)
 			}
+			if dsp.exc.waited > waited && dsp.hedging.second == nil { // the time of the hedge may have passed during the wait
+				tmr.Stop()
+				tmr = dsp.exc.frt.cfg.Clock.NewTimer(dsp.hedgeDelay())
+			}
 		case <-tmr.C():
 			if dsp.mayHedge() {
 				dsp.noteHedge(launch(true)) // if no second target can be used, the first attempt goes on alone
--- a/internal/edge/front/hedge.go
+++ b/internal/edge/front/hedge.go
@@ -69,11 +69,12 @@
 	return hds.tracker.Estimate(routeKey(dsp.exc.route), dsp.hedging.percent)
 }
 
-// hedgeDelay returns the time after which the first attempt is hedged.
+// hedgeDelay returns the time after which an attempt that is sent now is hedged.
 func (dsp *dispatch) hedgeDelay() (dur time.Duration) {
 	return hedge.Delay(hedge.DelayInput{
 		Percent:   dsp.hedging.percent,
 		Objective: dsp.exc.route.LatencyObjective,
+		Waited:    dsp.exc.waited,
 		Median:    dsp.exc.frt.medianLatency(dsp.exc.route, 0),
 		Estimate:  dsp.estimate(),
 	})
--- a/internal/edge/front/waiting_test.go
+++ b/internal/edge/front/waiting_test.go
@@ -11,6 +11,7 @@
 
 	"cardamompass"
 	"cardamompass/internal/edge/front"
+	"cardamompass/internal/stand/ptarg"
 	"cardamompass/internal/steer/place"
 )
 
@@ -42,11 +43,15 @@
 
 func (fxt *fixture) release() {
 	for num := range fxt.targets {
-		for range 12 {
-			fxt.balancer.RecordOutcome(place.Outcome{
-				Instance: cardamompass.InstanceID(fmt.Sprint("i-", num)), Result: place.ResultDropped,
-			}, time.Now())
-		}
+		fxt.releaseTarget(num)
+	}
+}
+
+func (fxt *fixture) releaseTarget(num int) {
+	for range 12 {
+		fxt.balancer.RecordOutcome(place.Outcome{
+			Instance: cardamompass.InstanceID(fmt.Sprint("i-", num)), Result: place.ResultDropped,
+		}, time.Now())
 	}
 }
 
@@ -265,6 +270,38 @@
 	return ins
 }
 
+// Guards against a hedge directly after the retry of a request that has waited, because its time passed during the wait.
+func TestNoHedgeAtOnceAfterWait(t *testing.T) {
+	fxt := newFixture(t, 3)
+	fxt.waiting.Store(true)
+	tbl := routes()
+	tbl.Version = 2
+	for num := range tbl.Routes {
+		tbl.Routes[num].MaxTargets, tbl.Routes[num].LatencyObjective = 3, 400*time.Millisecond
+	}
+	fxt.apply(cardamompass.Change{Table: tbl})
+	for num := range 30 { // the estimate of the median falls to 80 ms, so that the hedge is due after 289 ms
+		if status, _, _ := fxt.send("/wait/a", fmt.Sprint("r-warm-", num)); status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+	}
+	fxt.fill()
+	for num, tgt := range fxt.targets {
+		if len(tgt.Runs()) > 0 {
+			tgt.SetFault(ptarg.FaultShed)
+			fxt.releaseTarget(num)
+		}
+	}
+	runs := fxt.runs()
+	status := fxt.start(t.Context(), "/wait/a", "r-1")
+	time.Sleep(350 * time.Millisecond)
+	fxt.release()
+	fxt.room <- struct{}{}
+	if got := <-status; got != http.StatusOK || fxt.runs() != runs+1 {
+		t.Fatalf("status %d after %d runs, want 1", got, fxt.runs()-runs)
+	}
+}
+
 // Guards against a request that waits until its deadline when no room appears.
 func TestWaitEnds(t *testing.T) {
 	fxt := newWaitFixture(t)
--- a/internal/steer/hedge/decide.go
+++ b/internal/steer/hedge/decide.go
@@ -92,6 +92,8 @@
 	// Objective is the latency objective of the route, Median the estimate of its median latency that hedges without a limit use.
 	Objective time.Duration
 	Median    time.Duration
+	// Waited is how long the request has waited for a target; so much of the objective has passed when it is sent.
+	Waited time.Duration
 	// Estimate is that of the route for Percent.
 	Estimate Estimate
 }
@@ -105,7 +107,7 @@
 	if inp.Percent > 0 && inp.Estimate.Quantile > 0 {
 		return max(inp.Estimate.Quantile, time.Duration(minDelayFactor*float64(inp.Estimate.Usual)))
 	}
-	latest := inp.Objective - time.Duration(latencyFactor*float64(inp.Median)) - CallerTransferTime
+	latest := inp.Objective - inp.Waited - time.Duration(latencyFactor*float64(inp.Median)) - CallerTransferTime
 	return max(latest, time.Duration(minDelayFactor*float64(inp.Median)))
 }
 
--- a/internal/steer/hedge/track_test.go
+++ b/internal/steer/hedge/track_test.go
@@ -86,6 +86,14 @@
 	if dly := hedge.Delay(inp); dly != 505*time.Millisecond {
 		t.Errorf("delay without a limit %v, want 505ms", dly)
 	}
+	inp.Waited = 2 * time.Millisecond
+	if dly := hedge.Delay(inp); dly != 503*time.Millisecond {
+		t.Errorf("delay without a limit after a wait of 2 ms %v, want 503ms", dly)
+	}
+	inp.Waited = 200 * time.Millisecond
+	if dly := hedge.Delay(inp); dly != 500*time.Millisecond {
+		t.Errorf("delay without a limit after a wait of 200 ms %v, want 500ms", dly)
+	}
 	inp.Median = 900 * time.Millisecond
 	if dly := hedge.Delay(inp); dly != 1125*time.Millisecond {
 		t.Errorf("delay of a slow route without a limit %v, want 1.125s", dly)
