front: no hedges for a team that is over its share

Cause: hedge.Input.OverShare was never set, since the hedge and the queue that knows the shares were built apart.

Change: while room is short, the queue's own rule says whether a team is over its share, as it does for the limits on load. While there is room for all, no team is: otherwise the large teams of a deployment with equal rates would never be hedged.

--- a/internal/edge/front/hedge.go
+++ b/internal/edge/front/hedge.go
@@ -96,7 +96,9 @@
 		Now:        now,
 	}
 	if inp.Percent > 0 {
-		inp.Waited = inp.Waited || dsp.exc.waited > 0 || frt.waits.anyWaits(dsp.exc.service)
+		var anyWaits bool
+		anyWaits, inp.OverShare = frt.waits.competition(dsp, now)
+		inp.Waited = inp.Waited || dsp.exc.waited > 0 || anyWaits
 		frt.hedges.mu.Lock()
 		inp.LimitAllows = frt.hedges.limit.Allows(inp.Percent, now)
 		inp.LastRefusal = frt.hedges.refusals[dsp.exc.service]
--- a/internal/edge/front/hedge_test.go
+++ b/internal/edge/front/hedge_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"regexp"
+	"sync"
 	"testing"
 	"time"
 
@@ -146,6 +147,44 @@
 	}
 }
 
+// Guards against a hedge of a team that has had more than its share of scarce room.
+func TestNoHedgeOverShare(t *testing.T) {
+	fxt := newFixture(t, 3)
+	fxt.waiting.Store(true)
+	fxt.apply(teamTable(2, "one"))
+	fxt.steering.Store(&steer.Settings{HedgeLimitPercent: 20})
+	for num := range 30 {
+		if status := fxt.sendKey("/hedged/a", fmt.Sprint("r-team-", num), "one"); status != 200 {
+			t.Fatalf("status %d", status)
+		}
+	}
+	for num := range 5 {
+		if status := fxt.sendKey("/open/a", fmt.Sprint("r-open-", num), ""); status != 200 {
+			t.Fatalf("status %d", status)
+		}
+	}
+	for _, tgt := range fxt.targets {
+		if len(tgt.Runs()) > 0 {
+			tgt.SetFault(ptarg.FaultNoResponse)
+		}
+	}
+	fxt.fill()
+	var wtg sync.WaitGroup
+	for num := range 40 {
+		wtg.Go(func() {
+			if status := fxt.sendKey("/read/a", fmt.Sprint("r-short-", num), "one"); status != 503 {
+				t.Errorf("status %d while targets are full", status)
+			}
+		})
+	}
+	wtg.Wait()
+	fxt.release()
+	time.Sleep(1050 * time.Millisecond) // a refusal prevents hedges for 1 s
+	if status := fxt.sendKey("/hedged/a", "r-last", "one"); status != 504 || fxt.hedges("over-share") != "1" {
+		t.Fatalf("status %d, %s hedges rejected as over-share", status, fxt.hedges("over-share"))
+	}
+}
+
 // Guards against hedges above the retry budget, and against a rejected hedge that uses up a token of the other limit.
 func TestHedgeNeedsBothTokens(t *testing.T) {
 	now := time.Now()
--- a/internal/edge/front/waitreq.go
+++ b/internal/edge/front/waitreq.go
@@ -95,18 +95,18 @@
 	}
 }
 
-// anyWaits reports whether requests for a service wait for room.
-func (rom *waitRoom) anyWaits(svc cardamompass.ServiceName) (ok bool) {
+// competition reports whether requests for the service of dsp wait for room, and whether its team is over its share of the room.
+func (rom *waitRoom) competition(dsp *dispatch, now time.Time) (anyWaits, overShare bool) {
 	if !rom.active() {
-		return false
+		return false, false
 	}
-	srq := rom.queue(svc, false)
+	srq := rom.queue(dsp.exc.service, false)
 	if srq == nil {
-		return false
+		return false, false
 	}
 	srq.mu.Lock()
 	defer srq.mu.Unlock()
-	return len(srq.waiters) > 0
+	return len(srq.waiters) > 0, srq.que.OverShare(dsp.flow(), now)
 }
 
 // updateMetrics updates the metrics of promises and of the size of a queue. The caller holds the lock of srq.
--- a/internal/steer/wait/limit.go
+++ b/internal/steer/wait/limit.go
@@ -56,7 +56,7 @@
 func (que *Queue) Limit(key Flow, usual float64, now time.Time) (limit float64) {
 	degree := que.shortage.degree(now)
 	limit = usual * (1 - degree*(1-tightFactor))
-	if degree > 0 && que.overShare(key, now) {
+	if que.OverShare(key, now) {
 		return min(limit, usual-degree*(usual-overShareLoad))
 	}
 	return limit
@@ -71,6 +71,11 @@
 	return limit
 }
 
+// OverShare reports whether room is short and a team is over its share of it. While there is room for all, no team is.
+func (que *Queue) OverShare(key Flow, now time.Time) (ok bool) {
+	return que.shortage.degree(now) > 0 && que.overShare(key, now)
+}
+
 // overShare reports whether a team has had more room recently than the mean of the teams of its priority, by weight. Teams without recent
 // usage don't count: they need no share.
 func (que *Queue) overShare(key Flow, now time.Time) (ok bool) {
