--- a/internal/steer/wait/wait.go
+++ b/internal/steer/wait/wait.go
@@ -254,8 +254,8 @@
 }
 
 // Expire removes the requests that must not wait longer and returns their refusals: those that have waited as long as they may, those that
-// are late during a shortage, since they would make others late, and those whose position no longer lets them be served. The latter is decided with twice the time, since the rate of a few requests per second
-// varies by that much.
+// are late during a shortage, since they would make others late, and those whose position no longer lets them be served. The latter is
+// decided with twice the time, since the rate of a few requests per second varies by that much.
 func (que *Queue) Expire(now time.Time) (refs []Refusal) {
 	short := que.shortage.degree(now) > 0
 	perRequest := make(map[int]time.Duration) // by priority
