front: a request that arrives does not overtake those that wait

Cause: an arrival offered room to the waiting requests only if the last pass was 5 ms ago. Within that time it took the place of an attempt that had just ended before all that waited, whatever their priority, team and age.

Change: it does so also if an attempt has ended since the last pass. These passes are at most as many as the arrivals while others wait.

--- a/internal/edge/front/export_test.go
+++ b/internal/edge/front/export_test.go
@@ -7,6 +7,7 @@
 	"cardamompass"
 	"cardamompass/internal/steer/budget"
 	"cardamompass/internal/steer/hedge"
+	"cardamompass/internal/steer/place"
 )
 
 // Fingerprint returns the fingerprint of a request with the given body.
@@ -16,6 +17,11 @@
 	return fingerprint(received, frt.cfg.Protocol.ParseRequest(req.Header), body)
 }
 
+// EndAttempt records the end of an attempt for the waiting requests.
+func (frt *Front) EndAttempt(svc cardamompass.ServiceName) {
+	frt.waits.recordEnd(svc, place.ResultAnswered)
+}
+
 // Weight returns the weight of a team, nil for a public route, among the waiting requests of a priority.
 func Weight(tbl *cardamompass.RoutingTable, tea *cardamompass.Team, priority int) (share float64) {
 	return weight(tbl, tea, priority)
--- a/internal/edge/front/places_test.go
+++ b/internal/edge/front/places_test.go
@@ -10,8 +10,38 @@
 	"time"
 
 	"cardamompass/internal/conf/steer"
+	"cardamompass/internal/steer/place"
 )
 
+// Guards against a request that takes room on arrival although another one has waited for it.
+func TestArrivalDoesNotOvertake(t *testing.T) {
+	fxt := newWaitFixture(t)
+	for round := range 30 {
+		for num := range 16 { // keeps the limits at the usual ones
+			if status, _, _ := fxt.send(waitPaths[0], fmt.Sprint("r-", round, "-", num)); status != http.StatusOK {
+				t.Fatalf("status %d", status)
+			}
+		}
+		fxt.fill()
+		first := fxt.start(t.Context(), waitPaths[0], fmt.Sprint("r-first-", round))
+		time.Sleep(time.Duration(round) * time.Millisecond)
+		fxt.balancer.RecordOutcome(place.Outcome{Instance: "i-0", Result: place.ResultDropped}, time.Now())
+		fxt.front.EndAttempt(service)
+		if status, _, _ := fxt.send(waitPaths[0], fmt.Sprint("r-second-", round)); status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+		if status := <-first; status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+		fxt.balancer.RecordSent("i-0", time.Now())
+		fxt.release()
+		runs := fxt.targets[0].Runs()
+		if last := runs[len(runs)-1].ID; last != fmt.Sprint("r-second-", round) {
+			t.Fatalf("round %d: %s ran last", round, last)
+		}
+	}
+}
+
 // Guards against places at targets that are taken and never given back when callers leave, keys are revoked and quotas end while requests
 // wait, and against requests that run twice.
 func TestPlacesAreGivenBack(t *testing.T) {
--- a/internal/edge/front/waiting.go
+++ b/internal/edge/front/waiting.go
@@ -62,7 +62,9 @@
 	que      *wait.Queue
 	waiters  map[*wait.Item]*waiter
 	lastPass time.Time
-	stats    wait.Stats // as last added to the metrics
+	// ended is set when an attempt has ended since the last pass, so that there may be room that no waiting request was offered.
+	ended bool
+	stats wait.Stats // as last added to the metrics
 }
 
 // waiter is a request that waits.
@@ -149,7 +151,7 @@
 	if dsp.sent+dsp.unsent == 0 {
 		dsp.returned = srq.que.Arrive(dsp.flow(), now)
 	}
-	if srq.que.Stats().Waiting > 0 && now.Sub(srq.lastPass) >= minPassInterval {
+	if len(srq.waiters) > 0 && (srq.ended || now.Sub(srq.lastPass) >= minPassInterval) {
 		rom.pass(srq, now)
 	}
 	defer rom.updateMetrics(srq)
@@ -232,7 +234,7 @@
 
 // pass offers room to the waiting requests and refuses those that must not wait longer. The caller holds the lock of srq.
 func (rom *waitRoom) pass(srq *serviceQueue, now time.Time) {
-	srq.lastPass = now
+	srq.lastPass, srq.ended = now, false
 	for _, ref := range srq.que.Expire(now) {
 		rom.refuse(srq, ref)
 	}
@@ -299,6 +301,7 @@
 	default:
 		srq.que.Ended(now)
 	}
+	srq.ended = true
 	if len(srq.waiters) > 0 {
 		rom.roomMayHaveAppeared() // a pass here would delay the response
 	}
