--- a/internal/edge/front/dispatch.go
+++ b/internal/edge/front/dispatch.go
@@ -97,7 +97,7 @@
 		return rep, err
 	}
 	tmr := dsp.exc.frt.cfg.Clock.NewTimer(dsp.hedgeDelay())
-	defer tmr.Stop()
+	defer func() { tmr.Stop() }()
 	for {
 		select {
 		case atm := <-dsp.results:
@@ -114,9 +114,14 @@
 			if !dsp.mayRetry(ctx) {
 				return dsp.finalResult(atm, nil)
 			}
+			waited := dsp.exc.waited
 			if err = launch(false); err != nil {
 				return dsp.finalResult(atm, err)
 			}
+			if dsp.exc.waited > waited && dsp.hedging.second == nil { // the time of the hedge may have passed during the wait
+				tmr.Stop()
+				tmr = dsp.exc.frt.cfg.Clock.NewTimer(dsp.hedgeDelay())
+			}
 		case <-tmr.C():
 			if dsp.mayHedge() {
 				dsp.noteHedge(launch(true)) // if no second target can be used, the first attempt goes on alone
@@ -165,7 +170,7 @@
 		return nil, err
 	}
 	if waiting {
-		if err = dsp.afterWait(); err != nil {
+		if err = dsp.afterWait(chc); err != nil {
 			frt.waits.giveBack(dsp, chc)
 			return nil, err
 		}
@@ -206,11 +211,19 @@
 	return atm, nil
 }
 
-// afterWait repeats the checks before a send for a request that may have waited.
-func (dsp *dispatch) afterWait() (err error) {
+// afterWait repeats the checks before a send for a request that may have waited for the place of chc. The team may have got other home
+// regions since; the request is then refused, since its place was chosen for the former ones.
+func (dsp *dispatch) afterWait(chc place.Choice) (err error) {
 	if err = dsp.exc.checkAgain(); err != nil {
 		return err
 	}
+	if !dsp.exc.team.AllowsRegion(chc.Instance.Region) {
+		return dsp.noTarget(place.Choice{
+			Rejected: place.Rejected{
+				Away: 1,
+			},
+		})
+	}
 	return dsp.takeToken()
 }
 
@@ -220,7 +233,11 @@
 	frt := dsp.exc.frt
 	if waiting {
 		chc, err = frt.waits.choose(ctx, dsp)
-		return chc, frt.cfg.Clock.Now(), err
+		now = frt.cfg.Clock.Now()
+		if err != nil || dsp.exc.waited > 0 {
+			dsp.noteNoTarget(second, now)
+		}
+		return chc, now, err
 	}
 	now = frt.cfg.Clock.Now()
 	chc, ok := frt.cfg.Balancer.Choose(dsp.query(second, now))
--- a/internal/edge/front/hedge.go
+++ b/internal/edge/front/hedge.go
@@ -20,7 +20,7 @@
 	mu      sync.Mutex
 	tracker *hedge.Tracker
 	limit   *hedge.Limit
-	// refusals is when a request for a service was last refused for lack of a target.
+	// refusals is when a request for a service was last refused for lack of a target, or ended its wait for one.
 	refusals map[cardamompass.ServiceName]time.Time
 }
 
@@ -69,11 +69,12 @@
 	return hds.tracker.Estimate(routeKey(dsp.exc.route), dsp.hedging.percent)
 }
 
-// hedgeDelay returns the time after which the first attempt is hedged.
+// hedgeDelay returns the time after which an attempt that is sent now is hedged.
 func (dsp *dispatch) hedgeDelay() (dur time.Duration) {
 	return hedge.Delay(hedge.DelayInput{
 		Percent:   dsp.hedging.percent,
 		Objective: dsp.exc.route.LatencyObjective,
+		Waited:    dsp.exc.waited,
 		Median:    dsp.exc.frt.medianLatency(dsp.exc.route, 0),
 		Estimate:  dsp.estimate(),
 	})
@@ -95,6 +96,9 @@
 		Now:        now,
 	}
 	if inp.Percent > 0 {
+		var anyWaits bool
+		anyWaits, inp.OverShare = frt.waits.competition(dsp, now)
+		inp.Waited = inp.Waited || dsp.exc.waited > 0 || anyWaits
 		frt.hedges.mu.Lock()
 		inp.LimitAllows = frt.hedges.limit.Allows(inp.Percent, now)
 		inp.LastRefusal = frt.hedges.refusals[dsp.exc.service]
@@ -123,7 +127,8 @@
 	}
 }
 
-// noteNoTarget records that no target can be used. A request that is refused has priority over hedges for the capacity that frees up.
+// noteNoTarget records that no target can be used, or that the request has waited for one. A request that is refused has priority over
+// hedges for the capacity that frees up.
 func (dsp *dispatch) noteNoTarget(second bool, now time.Time) {
 	if second || dsp.hedging.percent == 0 {
 		return
--- a/internal/edge/front/waiting_test.go
+++ b/internal/edge/front/waiting_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"cardamompass"
+	"cardamompass/internal/edge/front"
+	"cardamompass/internal/stand/ptarg"
 	"cardamompass/internal/steer/place"
 )
 
@@ -41,11 +43,15 @@
 
 func (fxt *fixture) release() {
 	for num := range fxt.targets {
-		for range 12 {
-			fxt.balancer.RecordOutcome(place.Outcome{
-				Instance: cardamompass.InstanceID(fmt.Sprint("i-", num)), Result: place.ResultDropped,
-			}, time.Now())
-		}
+		fxt.releaseTarget(num)
+	}
+}
+
+func (fxt *fixture) releaseTarget(num int) {
+	for range 12 {
+		fxt.balancer.RecordOutcome(place.Outcome{
+			Instance: cardamompass.InstanceID(fmt.Sprint("i-", num)), Result: place.ResultDropped,
+		}, time.Now())
 	}
 }
 
@@ -121,6 +127,27 @@
 	}
 }
 
+// Guards against a request without a rate that counts as one of the smallest team: a team without a limit, and requests of public routes.
+func TestWeight(t *testing.T) {
+	small, large, unlimited := &cardamompass.Team{Rate: 10}, &cardamompass.Team{Rate: 90}, &cardamompass.Team{}
+	tbl := &cardamompass.RoutingTable{
+		Teams: map[cardamompass.TeamName]*cardamompass.Team{
+			"small": small, "large": large, "unlimited": unlimited, "other": {Rate: 1000, Priority: 1},
+		},
+	}
+	for _, tst := range []struct {
+		team     *cardamompass.Team
+		priority int
+		want     float64
+	}{
+		{small, 0, 10}, {large, 0, 90}, {unlimited, 0, 50}, {nil, 0, 50}, {nil, 1, 1000}, {nil, 2, 0},
+	} {
+		if got := front.Weight(tbl, tst.team, tst.priority); got != tst.want {
+			t.Errorf("weight %v of %+v at priority %d, want %v", got, tst.team, tst.priority, tst.want)
+		}
+	}
+}
+
 // Guards against requests that still wait when the VM ends, or that are refused with a status that leaves open whether they ran.
 func TestStopRefusesWaitingRequests(t *testing.T) {
 	fxt := newWaitFixture(t)
@@ -170,6 +197,111 @@
 	}
 }
 
+// Guards against a request that is sent where its team must not be served, or after its key was revoked, since the table changed during
+// the wait.
+func TestTeamChangesDuringWait(t *testing.T) {
+	for _, tst := range []struct {
+		name   string
+		change func(tbl *cardamompass.RoutingTable)
+		key    string
+		status int
+	}{
+		{"revoked", func(*cardamompass.RoutingTable) {}, "two", http.StatusUnauthorized},
+		{"region", func(tbl *cardamompass.RoutingTable) {
+			tbl.Teams["one"].HomeRegions = []cardamompass.Region{"elsewhere"}
+		}, "one", http.StatusServiceUnavailable},
+	} {
+		t.Run(tst.name, func(t *testing.T) {
+			fxt := newWaitFixture(t)
+			fxt.apply(teamTable(2, "one"))
+			runs := fxt.runs()
+			fxt.fill()
+			status := make(chan int, 1)
+			go func() { status <- fxt.sendKey("/patient/a", "r-1", "one") }()
+			fxt.awaitWaiting(1)
+			chg := teamTable(3, tst.key)
+			tst.change(chg.Table)
+			fxt.apply(chg)
+			fxt.release()
+			if got := <-status; got != tst.status || fxt.runs() != runs {
+				t.Fatalf("status %d after %d runs, want %d", got, fxt.runs()-runs, tst.status)
+			}
+			if load := fxt.balancer.MeanLoad(service, &chg.Table.Routes[0], time.Now()); load > 0 {
+				t.Errorf("mean load %v: a place was not given back", load)
+			}
+		})
+	}
+}
+
+// awaitWaiting returns when a number of requests are active and have had time to begin to wait.
+func (fxt *fixture) awaitWaiting(count int) {
+	for fxt.front.Active() < count {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(30 * time.Millisecond)
+}
+
+// Guards against a request that waits on although no target can have room for it any more.
+func TestTargetsLeaveDuringWait(t *testing.T) {
+	fxt := newWaitFixture(t)
+	fxt.fill()
+	status := fxt.start(t.Context(), waitPaths[1], "r-1")
+	for num := range fxt.targets {
+		ins := fxt.instance(num)
+		ins.Leaving = true
+		fxt.apply(cardamompass.Change{Instance: &ins})
+	}
+	select {
+	case got := <-status:
+		if got != http.StatusServiceUnavailable {
+			t.Errorf("status %d", got)
+		}
+	case <-time.After(500 * time.Millisecond): // it may wait for 1.5 s
+		t.Error("the request still waits")
+	}
+}
+
+// instance returns a target as the view has it.
+func (fxt *fixture) instance(num int) (ins cardamompass.Instance) {
+	ins, ok := fxt.view().Instance(cardamompass.InstanceID(fmt.Sprint("i-", num)))
+	if !ok {
+		fxt.t.Fatal("no such target")
+	}
+	return ins
+}
+
+// Guards against a hedge directly after the retry of a request that has waited, because its time passed during the wait.
+func TestNoHedgeAtOnceAfterWait(t *testing.T) {
+	fxt := newFixture(t, 3)
+	fxt.waiting.Store(true)
+	tbl := routes()
+	tbl.Version = 2
+	for num := range tbl.Routes {
+		tbl.Routes[num].MaxTargets, tbl.Routes[num].LatencyObjective = 3, 400*time.Millisecond
+	}
+	fxt.apply(cardamompass.Change{Table: tbl})
+	for num := range 30 { // the estimate of the median falls to 80 ms, so that the hedge is due after 289 ms
+		if status, _, _ := fxt.send("/wait/a", fmt.Sprint("r-warm-", num)); status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+	}
+	fxt.fill()
+	for num, tgt := range fxt.targets {
+		if len(tgt.Runs()) > 0 {
+			tgt.SetFault(ptarg.FaultShed)
+			fxt.releaseTarget(num)
+		}
+	}
+	runs := fxt.runs()
+	status := fxt.start(t.Context(), "/wait/a", "r-1")
+	time.Sleep(350 * time.Millisecond)
+	fxt.release()
+	fxt.room <- struct{}{}
+	if got := <-status; got != http.StatusOK || fxt.runs() != runs+1 {
+		t.Fatalf("status %d after %d runs, want 1", got, fxt.runs()-runs)
+	}
+}
+
 // Guards against a request that waits until its deadline when no room appears.
 func TestWaitEnds(t *testing.T) {
 	fxt := newWaitFixture(t)
--- a/internal/edge/front/waitreq.go
+++ b/internal/edge/front/waitreq.go
@@ -5,6 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"cardamompass"
 	"cardamompass/internal/obs/metric"
 	"cardamompass/internal/steer/hedge"
 	"cardamompass/internal/steer/place"
@@ -34,12 +35,20 @@
 	return flw
 }
 
-// weight returns the share of the request's team relative to other teams: its rate, 0 if it has none.
-func (dsp *dispatch) weight() (share float64) {
-	if dsp.exc.team == nil {
-		return 0
+// weight returns the share of a team relative to the other teams of a priority: its rate. Requests without a rate, those of a team without
+// a limit and those of public routes, have the mean of the rates of the priority, 0 if there are none. The least weight would starve them.
+func weight(tbl *cardamompass.RoutingTable, tea *cardamompass.Team, priority int) (share float64) {
+	if tea != nil && tea.Rate > 0 {
+		return tea.Rate
 	}
-	return dsp.exc.team.Rate
+	sum, count := 0.0, 0
+	for _, oth := range tbl.Teams {
+		if oth.Priority == priority && oth.Rate > 0 {
+			sum += oth.Rate
+			count++
+		}
+	}
+	return sum / float64(max(1, count))
 }
 
 // waitRequest describes the request to the queue.
@@ -47,7 +56,7 @@
 	exc := dsp.exc
 	return wait.Request{
 		Flow:           dsp.flow(),
-		Weight:         dsp.weight(),
+		Weight:         weight(exc.vew.Table, exc.team, exc.priority()),
 		Returned:       dsp.returned,
 		Bytes:          int64(len(dsp.msg.Body)),
 		Work:           exc.frt.medianLatency(exc.route, 0) + hedge.CallerTransferTime,
@@ -72,6 +81,34 @@
 	}
 }
 
+// endHopeless ends the waits of requests for which no target can have room soon: the targets have left, or back off. The caller holds the
+// lock of srq.
+func (rom *waitRoom) endHopeless(srq *serviceQueue, hopeless map[*wait.Item]error) {
+	for itm, err := range hopeless {
+		if _, ok := srq.waiters[itm]; !ok {
+			continue // a later try in the same pass found room
+		}
+		srq.que.Remove(itm)
+		rom.finish(srq, itm, waitResult{
+			err: err,
+		})
+	}
+}
+
+// competition reports whether requests for the service of dsp wait for room, and whether its team is over its share of the room.
+func (rom *waitRoom) competition(dsp *dispatch, now time.Time) (anyWaits, overShare bool) {
+	if !rom.active() {
+		return false, false
+	}
+	srq := rom.queue(dsp.exc.service, false)
+	if srq == nil {
+		return false, false
+	}
+	srq.mu.Lock()
+	defer srq.mu.Unlock()
+	return len(srq.waiters) > 0, srq.que.OverShare(dsp.flow(), now)
+}
+
 // updateMetrics updates the metrics of promises and of the size of a queue. The caller holds the lock of srq.
 func (rom *waitRoom) updateMetrics(srq *serviceQueue) {
 	sts, old := srq.que.Stats(), srq.stats
--- a/internal/steer/wait/estimate.go
+++ b/internal/steer/wait/estimate.go
@@ -22,6 +22,9 @@
 	biasGain     = 0.1
 	maxBias      = 4.0
 	maxBiasRatio = 3.0
+	// biasDecay is the time constant with which the correction is forgotten. Without it, a factor that was learned at the end of a burst
+	// would refuse the requests of a later one, and no wait would correct it.
+	biasDecay = 30 * time.Second
 	// minCompared is the shortest estimate or wait that the correction factor distinguishes.
 	minCompared = 10 * time.Millisecond
 )
@@ -30,7 +33,16 @@
 type roomRate struct {
 	counts [int(rateWindow / rateStep)]int
 	step   int64 // number of the newest step since the Unix epoch
-	first  time.Time
+	// first is the first end since the start or since a window without any.
+	first time.Time
+}
+
+// total returns the number of ends within the window.
+func (rat *roomRate) total() (sum int) {
+	for _, cnt := range rat.counts {
+		sum += cnt
+	}
+	return sum
 }
 
 // advance clears the steps that have left the window.
@@ -48,7 +60,7 @@
 
 func (rat *roomRate) add(now time.Time) {
 	rat.advance(now)
-	if rat.first.IsZero() {
+	if rat.total() == 0 {
 		rat.first = now
 	}
 	rat.counts[rat.step%int64(len(rat.counts))]++
@@ -57,13 +69,9 @@
 // perSecond returns the rate at which requests ended.
 func (rat *roomRate) perSecond(now time.Time) (rate float64) {
 	rat.advance(now)
-	total := 0
-	for _, cnt := range rat.counts {
-		total += cnt
-	}
-	// A VM that has just started divides by the time since its first end, though not by less than a quarter of the window.
+	// After the start or a pause, the ends are divided by the time since the first one, though not by less than a quarter of the window.
 	span := min(rateWindow, max(rateWindow/4, now.Sub(rat.first)))
-	return max(minRate, float64(total)/span.Seconds())
+	return max(minRate, float64(rat.total())/span.Seconds())
 }
 
 // Ended records that a request of this VM to the service ended and gave up its room. In an overload each VM's requests end at the rate at
@@ -92,7 +100,12 @@
 // timeFor returns the estimated time until room has appeared for a number of requests of a priority.
 func (que *Queue) timeFor(count float64, priority int, now time.Time) (dur time.Duration) {
 	perSecond := que.room.perSecond(now) * que.shareOf(priority, now)
-	return time.Duration(que.bias * count / perSecond * float64(time.Second))
+	return time.Duration(que.correction(now) * count / perSecond * float64(time.Second))
+}
+
+// correction returns the factor by which the estimate is multiplied. It tends to 1 while no wait ends.
+func (que *Queue) correction(now time.Time) (factor float64) {
+	return math.Pow(que.bias, math.Exp(-now.Sub(que.biasAt).Seconds()/biasDecay.Seconds()))
 }
 
 // estimate returns the time until room appears for a new request: the number of requests before it in the order, and itself, divided by
@@ -142,7 +155,7 @@
 		return
 	}
 	ratio = min(maxBiasRatio, max(1/maxBiasRatio, ratio))
-	que.bias = min(maxBias, max(1/maxBias, que.bias*math.Pow(ratio, biasGain)))
+	que.bias, que.biasAt = min(maxBias, max(1/maxBias, que.correction(now)*math.Pow(ratio, biasGain))), now
 }
 
 const (
--- a/internal/steer/wait/wait.go
+++ b/internal/steer/wait/wait.go
@@ -116,8 +116,9 @@
 	room   roomRate
 	// shortage tells how many of the recent requests found no room.
 	shortage shortage
-	// bias is the correction factor of the estimate, learned from the waits that have ended.
-	bias float64
+	// bias is the correction factor of the estimate at biasAt, learned from the waits that have ended.
+	bias   float64
+	biasAt time.Time
 	// sinceOldest counts the placements since the oldest request was placed or was the head of the order.
 	sinceOldest int
 	cursor      uint64 // number of the request after which a pass continues
@@ -169,6 +170,7 @@
 	if que.stopped {
 		return nil, que.refusal(itm, ReasonStopped, now), nil
 	}
+	que.flow(req.Flow).setWeight(req.Weight)
 	itm.estimate = que.estimate(req, now)
 	if !que.servable(itm, now) {
 		return nil, que.refusal(itm, ReasonLate, now), nil
@@ -252,8 +254,8 @@
 }
 
 // Expire removes the requests that must not wait longer and returns their refusals: those that have waited as long as they may, those that
-// are late during a shortage, since they would make others late, and those whose position no longer lets them be served. The latter is decided with twice the time, since the rate of a few requests per second
-// varies by that much.
+// are late during a shortage, since they would make others late, and those whose position no longer lets them be served. The latter is
+// decided with twice the time, since the rate of a few requests per second varies by that much.
 func (que *Queue) Expire(now time.Time) (refs []Refusal) {
 	short := que.shortage.degree(now) > 0
 	perRequest := make(map[int]time.Duration) // by priority
