--- a/internal/edge/front/quota_test.go
+++ b/internal/edge/front/quota_test.go
@@ -91,23 +91,6 @@
 	}
 }
 
-// Guards against a token that is returned although the request reached targets, which refused it: the quota counts all that arrive.
-func TestQuotaOfShedRequest(t *testing.T) {
-	for _, waiting := range []bool{false, true} {
-		fxt := newFixture(t, 2)
-		fxt.waiting.Store(waiting)
-		fxt.apply(teamTable(2, "one"))
-		fxt.quota.left = 5
-		fxt.set(ptarg.FaultShed)
-		if status := fxt.sendKey("/read/a", "shed", "one"); status != http.StatusServiceUnavailable {
-			t.Errorf("status %d", status)
-		}
-		if left, taken := fxt.quota.state(); left != 4 || taken != 1 {
-			t.Errorf("%d tokens left, %d taken", left, taken)
-		}
-	}
-}
-
 // Guards against a second token for a request that is sent again after it has reached a target.
 func TestQuotaOfRetry(t *testing.T) {
 	fxt := newFixture(t, 2)
