--- a/internal/edge/front/dispatch.go
+++ b/internal/edge/front/dispatch.go
@@ -73,19 +73,7 @@
 func (dsp *dispatch) run(ctx context.Context) (rep send.Reply, err error) {
 	dsp.results, dsp.ended = make(chan *attempt), make(chan struct{})
 	inFlight := make(map[*attempt]bool)
-	defer func() {
-		close(dsp.ended)
-		if len(inFlight) == 0 { // an attempt that is cancelled may reach its target
-			dsp.returnToken()
-		}
-		for atm := range inFlight {
-			atm.cancel()
-		}
-		dsp.countHedge()
-		if dsp.fallback != nil && err != nil {
-			dsp.fallback.Release()
-		}
-	}()
+	defer func() { dsp.end(inFlight, err) }()
 	launch := func(second bool) (err error) {
 		atm, err := dsp.launch(ctx, second)
 		if err == nil {
@@ -135,6 +123,21 @@
 	}
 }
 
+// end cancels the attempts in flight and releases what is not needed for the result.
+func (dsp *dispatch) end(inFlight map[*attempt]bool, err error) {
+	close(dsp.ended)
+	if len(inFlight) == 0 { // an attempt that is cancelled may reach its target
+		dsp.returnToken()
+	}
+	for atm := range inFlight {
+		atm.cancel()
+	}
+	dsp.countHedge()
+	if dsp.fallback != nil && err != nil {
+		dsp.fallback.Release()
+	}
+}
+
 // finalResult returns the result when no further attempt is made: an error response of a target if there is one, else the error of
 // the last attempt. launchErr is the error of the attempt that did not start; a denial is the result if the request has not run.
 func (dsp *dispatch) finalResult(atm *attempt, launchErr error) (rep send.Reply, err error) {
