soak: teams, quotas, pipelined requests and a growing configuration

Cause: the soak did not try keys, quotas and pipelined connections under faults. Change: groups of callers with keys, a key that is taken away while the store turns one VM away, a quota that falls, pipelining callers that read slowly at times, and a configuration that grows to about 1 MB. The fleet's settings have the bounds of quotas. The store sees the VMs' own addresses, so that it can turn one away. The faults last 20 s instead of 12 s and the load goes on for 9 s after them.

--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -24,7 +24,7 @@
 var (
 	seedFlag  = flag.Uint64("soak.seed", 0, "run only this seed")
 	seedsFlag = flag.Int("soak.seeds", 0, "run this many new seeds instead of the listed ones")
-	timeFlag  = flag.Duration("soak.time", 12*time.Second, "duration of fault injection for each seed")
+	timeFlag  = flag.Duration("soak.time", 20*time.Second, "duration of fault injection for each seed")
 	vmsFlag   = flag.Int("soak.vms", 6, "number of entry VMs")
 	rateFlag  = flag.Int("soak.rate", 120, "requests per second")
 )
@@ -60,6 +60,7 @@
 	callers   *pfleet.Callers
 	version   int
 	leaving   map[*pfleet.Target]time.Time // time at which the registration of a target as draining was acknowledged
+	teams     *teams
 	events    []string
 	begin     time.Time
 }
@@ -69,6 +70,8 @@
 	slots   = 6
 	// recoverTime is the time within which all VMs must serve again after the last fault is lifted.
 	recoverTime = 15 * time.Second
+	// settleTime is the time for which the load goes on after that: all VMs have the newest configuration, and a window of quotas passes.
+	settleTime = applyBound + pfleet.QuotaWindow + time.Second
 )
 
 func newSoak(t *testing.T, seed uint64) (sok *soak) {
@@ -86,7 +89,7 @@
 	t.Cleanup(stop)
 	cls, stopCallers := pfleet.NewCallers(flt)
 	t.Cleanup(stopCallers)
-	return &soak{
+	sok = &soak{
 		Fleet:     flt,
 		t:         t,
 		rng:       rand.New(rand.NewPCG(seed, 1)),
@@ -94,6 +97,8 @@
 		callers:   cls,
 		leaving:   make(map[*pfleet.Target]time.Time),
 	}
+	sok.teams = newTeams(sok)
+	return sok
 }
 
 func (sok *soak) run() {
@@ -106,13 +111,18 @@
 	sok.awaitService("start")
 	sok.begin = time.Now()
 	load.Go(func() { sok.callers.Run(ctx, *rateFlag, sok.path) })
+	sok.teams.start(ctx, &load)
 	for time.Since(sok.begin) < *timeFlag {
 		sok.step()
 		sok.stepTarget()
+		sok.teams.step()
 		time.Sleep(time.Duration(sok.rng.IntN(400)) * time.Millisecond)
 	}
 	sok.heal()
+	sok.teams.step()
+	healed := time.Now()
 	sok.awaitService("end of the faults")
+	time.Sleep(time.Until(healed.Add(settleTime)))
 	cancel()
 	load.Wait()
 	sok.check()
@@ -131,7 +141,8 @@
 	// The limits follow from the version, not from the seed, so that the faults of earlier seeds stay the same.
 	sok.Limits.HeaderBytes = 16384 << (sok.version % 3)
 	sok.Limits.IdleTimeout = time.Duration(5+sok.version%4*5) * time.Second
-	sok.Configure(sok.version, []string{"/read/", fmt.Sprintf("/v%d/", sok.version)}, []string{"/write/"})
+	reads := []string{"/read/", fmt.Sprintf("/v%d/", sok.version), openPrefix}
+	sok.Configure(sok.version, append(reads, sok.teams.growth()...), []string{"/write/"})
 }
 
 func (sok *soak) recordEvent(format string, args ...any) {
@@ -145,12 +156,15 @@
 	switch kind := sok.rng.IntN(14); kind {
 	case 0:
 		sok.recordEvent("kill %s: %v", vmc.Name(), vmc.Kill())
+		sok.teams.setFault(vmc, "frozen", false)
 	case 1:
 		sok.recordEvent("terminate %s: %v", vmc.Name(), vmc.Terminate())
 	case 2:
 		sok.recordEvent("freeze %s: %v", vmc.Name(), vmc.Freeze())
+		sok.teams.setFault(vmc, "frozen", true)
 	case 3, 4:
 		sok.recordEvent("resume %s: %v", vmc.Name(), vmc.Resume())
+		sok.teams.setFault(vmc, "frozen", false)
 		if !vmc.Running() {
 			sok.recordEvent("start %s: %v", vmc.Name(), vmc.Start())
 		}
@@ -158,14 +172,14 @@
 		sok.recordEvent("reload %s: %v", vmc.Name(), vmc.Reload())
 	case 6:
 		flt := sok.storeFaults()
-		sok.Store.SetFaults(flt)
+		sok.teams.setStoreFaults(flt)
 		sok.recordEvent("store %+v", flt)
 	case 7:
-		sok.Store.SetFaults(pstore.Faults{})
+		sok.teams.setStoreFaults(pstore.Faults{})
 		sok.Store.Compact()
 		sok.recordEvent("store faults lifted, history compacted")
 	case 8:
-		sok.changeLink(vmc.StoreProxy, "store of "+vmc.Name())
+		sok.teams.setLink(vmc, sok.changeLink(vmc.StoreProxy, "store of "+vmc.Name()))
 	case 9, 10:
 		sok.changeLink(tgt.Proxy, tgt.ID)
 	case 11:
@@ -213,13 +227,13 @@
 		{NoReply: true},
 		{LoseWriteReplies: true},
 		{Delay: 300 * time.Millisecond},
-		{RefusedIPs: []string{"127.0.0.1"}},
+		{RefusedIPs: sok.teams.allIPs()},
 	}[sok.rng.IntN(5)]
 }
 
-// changeLink injects a fault into a connection through a proxy, or lifts its faults.
-func (sok *soak) changeLink(prx *fault.Proxy, name string) {
-	switch sok.rng.IntN(6) {
+// changeLink injects a fault into a connection through a proxy, or lifts its faults. It returns the kind of the change.
+func (sok *soak) changeLink(prx *fault.Proxy, name string) (kind int) {
+	switch kind = sok.rng.IntN(6); kind {
 	case 0:
 		prx.Drop(fault.Up)
 		sok.recordEvent("%s: traffic towards it dropped", name)
@@ -237,6 +251,7 @@
 		prx.SetDelay(fault.Down, 0)
 		sok.recordEvent("%s: faults lifted, connections reset: %v", name, prx.Heal())
 	}
+	return kind
 }
 
 // leave registers a target as draining. If it already is, another target is added instead.
@@ -257,7 +272,8 @@
 // heal lifts all faults and starts all VMs.
 func (sok *soak) heal() {
 	sok.recordEvent("all faults lifted")
-	sok.Store.SetFaults(pstore.Faults{})
+	sok.teams.refused = ""
+	sok.teams.setStoreFaults(pstore.Faults{})
 	for _, tgt := range sok.Targets {
 		tgt.SetFault(ptarg.FaultNone)
 		sok.liftFaults(tgt.Proxy)
@@ -265,6 +281,8 @@
 	for _, vmc := range sok.VMs {
 		sok.liftFaults(vmc.StoreProxy)
 		_ = vmc.Resume() // fails for a VM that does not run
+		sok.teams.setLink(vmc, linkHealed)
+		sok.teams.setFault(vmc, "frozen", false)
 		if !vmc.Running() {
 			if err := vmc.Start(); err != nil {
 				sok.t.Error(err)
@@ -304,7 +322,7 @@
 
 func (sok *soak) check() {
 	results := sok.callers.Results()
-	violations := pfleet.Violations(results, sok.Targets)
+	violations := append(pfleet.Violations(append(sok.teams.results(), results...), sok.Targets), sok.teams.violations()...)
 	for _, vmc := range sok.VMs {
 		if size, err := vmc.PeakMemory(); err == nil && size > pfleet.MemoryLimit {
 			violations = append(violations, fmt.Sprintf("%s used %d MiB at most, its limit is %d MiB", vmc.Name(), size>>20, pfleet.MemoryLimit>>20))
--- /dev/null
+++ b/internal/proof/soak/teams_test.go
@@ -0,0 +1,351 @@
+package soak_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"cardamompass/internal/stand/pfleet"
+	"cardamompass/internal/stand/pstore"
+)
+
+var refuseFlag = flag.Duration("soak.refuse", 5*time.Second, "how long the store turns a VM away after a key was taken away")
+
+const (
+	openPrefix = "/open/"
+	// secret begins all keys.
+	secret = "s3cr3t-"
+	// applyBound is the time within which a VM that reaches the store applies a configuration, refusedBound that of a VM that the store
+	// turns away. Both count from the store's acknowledgement.
+	applyBound   = 3 * time.Second
+	refusedBound = 8 * time.Second
+	// maxRoutes are the further routes of the grown configuration, which has about 1 MB.
+	maxRoutes = 4800
+	// linkHealed is the kind of change that lifts the faults of a link; kinds below linkDelayed keep the store's messages away.
+	linkHealed  = 5
+	linkDelayed = 3
+	// heldTime is the time after which a request counts as held by the faults of the target's link rather than by a VM.
+	heldTime = time.Second
+)
+
+// oldQuota and newQuota are the rate and burst of the limited team before and after its quota falls.
+var (
+	oldQuota = [2]float64{20, 20}
+	newQuota = [2]float64{6, 6}
+)
+
+// span is a time from which a VM can or can't learn of changes.
+type span struct {
+	at     time.Time
+	usable bool
+}
+
+// group is a group of callers with one key. All its requests that run have the group's team.
+type group struct {
+	*pfleet.Callers
+	team string
+	load func(ctx context.Context)
+}
+
+// teams are the callers of several teams, the changes of the teams while the faults go on, and what is known of the VMs then.
+type teams struct {
+	sok     *soak
+	groups  map[string]*group
+	store   pstore.Faults // but for the VM that the store turns away
+	refused string        // IP of the VM that the store turns away
+	faults  map[*pfleet.VM]map[string]bool
+	spans   map[*pfleet.VM][]span
+	done    int // changes made so far
+	routes  int
+	lowered time.Time // acknowledgement of the lower quota
+	revoked time.Time // acknowledgement of the revocation
+}
+
+func newTeams(sok *soak) (tms *teams) {
+	tms = &teams{
+		sok:    sok,
+		groups: make(map[string]*group),
+		faults: make(map[*pfleet.VM]map[string]bool),
+		spans:  make(map[*pfleet.VM][]span),
+	}
+	for _, vmc := range sok.VMs {
+		tms.faults[vmc] = make(map[string]bool)
+		tms.spans[vmc] = []span{{usable: true}}
+	}
+	sok.Public = []string{openPrefix}
+	sok.Teams = []pfleet.Team{
+		{Name: "stays", Keys: []string{secret + "stays"}},
+		{Name: "loses", Keys: []string{secret + "lost", secret + "kept"}},
+		{Name: "limited", Keys: []string{secret + "limited"}, RatePerS: oldQuota[0], Burst: oldQuota[1]},
+	}
+	sok.callers.SetKey(secret + "stays")
+	open := func(bool) string { return openPrefix + "a" }
+	tms.add("public", "", 10, open)
+	tms.add("kept", "loses", 20, sok.path)
+	tms.add("lost", "loses", 40, sok.path).UseAllVMs()
+	tms.add("limited", "limited", 80, sok.path).UseAllVMs()
+	pip := tms.add("pipelined", "stays", 0, nil)
+	pip.SetKey(secret + "stays")
+	pip.load = func(ctx context.Context) {
+		_, _ = pip.Lookup(ctx) // on failure there is no connection, which the check of the served requests shows
+		var wgr sync.WaitGroup
+		for range 3 {
+			wgr.Go(func() { pip.RunPipelined(ctx, 8, 60, "/read/a") })
+		}
+		wgr.Wait()
+	}
+	return tms
+}
+
+func (tms *teams) add(name, team string, rate int, path func(bool) string) (grp *group) {
+	cls, stop := pfleet.NewCallers(tms.sok.Fleet)
+	tms.sok.t.Cleanup(stop)
+	cls.SetKey(secret + name)
+	grp = &group{
+		Callers: cls,
+		team:    team,
+		load:    func(ctx context.Context) { cls.Run(ctx, rate, path) },
+	}
+	if team == "" {
+		cls.SetKey(secret + "unknown") // a public route needs none, and targets must not get it
+	}
+	tms.groups[name] = grp
+	return grp
+}
+
+func (tms *teams) start(ctx context.Context, wgr *sync.WaitGroup) {
+	for _, grp := range tms.groups {
+		wgr.Go(func() { grp.load(ctx) })
+	}
+}
+
+// growth returns the prefixes of the further routes.
+func (tms *teams) growth() (prefixes []string) {
+	for num := range tms.routes {
+		prefixes = append(prefixes, fmt.Sprintf("/growth-%04d/", num))
+	}
+	return prefixes
+}
+
+// step makes the changes that are due. Their times don't depend on the seed.
+func (tms *teams) step() {
+	sok, last := tms.sok, tms.sok.VMs[len(tms.sok.VMs)-1] // the last VM has no other faults
+	for _, chg := range []struct {
+		at   time.Duration
+		make func()
+	}{
+		{time.Second, func() {
+			sok.Teams[2].RatePerS, sok.Teams[2].Burst = newQuota[0], newQuota[1]
+			tms.configure("the quota falls")
+			tms.lowered = time.Now()
+		}},
+		{4 * time.Second, func() {
+			tms.refuse(last.IP)
+			last.StoreProxy.Cut() // else the waiting watch still gets the next change
+			_ = last.StoreProxy.Heal()
+		}},
+		{4500 * time.Millisecond, func() {
+			sok.Teams[1].Keys = []string{secret + "kept"}
+			tms.configure("a key is taken away")
+			tms.revoked = time.Now()
+		}},
+		{6 * time.Second, func() { tms.grow(1) }},
+		{8 * time.Second, func() { tms.grow(2) }},
+		{4500*time.Millisecond + *refuseFlag, func() { tms.refuse("") }},
+		{10 * time.Second, func() { tms.grow(3) }},
+		{12 * time.Second, func() { tms.grow(4) }},
+	}[tms.done:] {
+		if time.Since(sok.begin) < chg.at {
+			return
+		}
+		chg.make()
+		tms.done++
+	}
+}
+
+func (tms *teams) grow(quarters int) {
+	tms.routes = maxRoutes * quarters / 4
+	tms.configure(fmt.Sprint(tms.routes, " further routes"))
+}
+
+func (tms *teams) configure(what string) {
+	tms.sok.configure()
+	tms.sok.recordEvent("configuration %d: %s", tms.sok.version, what)
+}
+
+// refuse makes the store turn one VM away, or none, beside its other faults.
+func (tms *teams) refuse(ip string) {
+	tms.refused = ip
+	tms.setStoreFaults(tms.store)
+	tms.sok.recordEvent("store turns away %q", ip)
+}
+
+func (tms *teams) allIPs() (ips []string) {
+	for _, vmc := range tms.sok.VMs {
+		ips = append(ips, vmc.IP)
+	}
+	return ips
+}
+
+func (tms *teams) setStoreFaults(flt pstore.Faults) {
+	tms.store = flt
+	out := flt.Outage || flt.NoReply || len(flt.RefusedIPs) > 0
+	if tms.refused != "" && len(flt.RefusedIPs) == 0 {
+		flt.RefusedIPs = []string{tms.refused}
+	}
+	tms.sok.Store.SetFaults(flt)
+	for _, vmc := range tms.sok.VMs {
+		tms.setFault(vmc, "store", out)
+	}
+}
+
+func (tms *teams) setLink(vmc *pfleet.VM, kind int) {
+	if kind != linkDelayed {
+		tms.setFault(vmc, "link", kind < linkDelayed)
+	}
+}
+
+// setFault records a fault due to which a VM can't learn of changes. That the store turns away a single VM is not recorded.
+func (tms *teams) setFault(vmc *pfleet.VM, name string, on bool) {
+	tms.faults[vmc][name] = on
+	usable := true
+	for _, flt := range tms.faults[vmc] {
+		usable = usable && !flt
+	}
+	if spans := tms.spans[vmc]; spans[len(spans)-1].usable != usable {
+		tms.spans[vmc] = append(spans, span{
+			at:     time.Now(),
+			usable: usable,
+		})
+	}
+}
+
+// inForce returns when a VM must have applied a configuration: it could learn of it for the bound without a break. ok is false if never.
+func (tms *teams) inForce(vmc *pfleet.VM, acknowledged time.Time) (at time.Time, ok bool) {
+	bound := applyBound
+	if vmc == tms.sok.VMs[len(tms.sok.VMs)-1] {
+		bound = refusedBound
+	}
+	for num, spn := range tms.spans[vmc] {
+		from := spn.at
+		if from.Before(acknowledged) {
+			from = acknowledged
+		}
+		at = from.Add(bound)
+		if spn.usable && (num+1 == len(tms.spans[vmc]) || at.Before(tms.spans[vmc][num+1].at)) {
+			return at, true
+		}
+	}
+	return at, false
+}
+
+func (tms *teams) results() (all []pfleet.Result) {
+	for _, grp := range tms.groups {
+		all = append(all, grp.Results()...)
+	}
+	return all
+}
+
+// violations compares what callers of all teams and targets saw.
+func (tms *teams) violations() (found []string) {
+	team, byID := make(map[string]string), make(map[string]pfleet.Result)
+	note := func(name string, results []pfleet.Result) {
+		for _, res := range results {
+			team[res.ID], byID[res.ID] = name, res
+		}
+	}
+	note("stays", tms.sok.callers.Results())
+	for name, grp := range tms.groups {
+		results := grp.Results()
+		note(grp.team, results)
+		count := make(map[int]int)
+		for _, res := range results {
+			count[res.Status]++
+		}
+		tms.sok.t.Logf("%s: responses by status %v", name, count)
+		if share := map[string]int{"public": 4, "kept": 4, "pipelined": 4, "lost": 20, "limited": 50}[name]; count[http.StatusOK] < len(results)/share {
+			found = append(found, fmt.Sprintf("%s: only %d of %d requests were served", name, count[http.StatusOK], len(results)))
+		}
+	}
+	var arrivals []time.Time
+	for num, tgt := range tms.sok.Targets {
+		linkFaults := num < targets/2
+		for _, run := range tgt.Runs() {
+			res := byID[run.ID]
+			if name := run.Header.Get("Tenant"); name != team[run.ID] || run.Header["Credential"] != nil || strings.Contains(fmt.Sprint(run.Header), secret) {
+				found = append(found, fmt.Sprintf("%s: request of team %q has headers %v", run.ID, team[run.ID], run.Header))
+			}
+			if res.Status == http.StatusUnauthorized || res.Status == http.StatusTooManyRequests || res.Status == http.StatusServiceUnavailable {
+				found = append(found, fmt.Sprintf("%s: refused with status %d, but %s ran it (idempotent %v)", run.ID, res.Status, tgt.ID, res.Idempotent))
+			}
+			if team[run.ID] == "limited" && (!linkFaults || run.At.Sub(res.At) <= heldTime) {
+				arrivals = append(arrivals, run.At)
+			}
+		}
+	}
+	return append(append(found, tms.lateRuns(byID)...), tms.overQuota(arrivals)...)
+}
+
+// lateRuns returns the runs of requests whose key had been taken away. The faults of a target's link can hold a request, so that behind one
+// that has faults the time at which it was sent counts.
+func (tms *teams) lateRuns(byID map[string]pfleet.Result) (found []string) {
+	lost := make(map[string]bool)
+	for _, res := range tms.groups["lost"].Results() {
+		lost[res.ID] = true
+	}
+	bounds := make(map[string]time.Time)
+	for _, vmc := range tms.sok.VMs {
+		if at, ok := tms.inForce(vmc, tms.revoked); ok {
+			bounds[vmc.CallerAddress()] = at
+		}
+	}
+	for num, tgt := range tms.sok.Targets {
+		for _, run := range tgt.Runs() {
+			res, at := byID[run.ID], run.At
+			if num < targets/2 {
+				at = res.At
+			}
+			if bound, ok := bounds[res.VM]; lost[run.ID] && ok && at.After(bound) {
+				found = append(found, fmt.Sprintf("%s: %s ran it at %.2fs, %v after the bound for its revoked key at %s; sent at %.2fs", run.ID, tgt.ID,
+					run.At.Sub(tms.sok.begin).Seconds(), at.Sub(bound), res.VM, res.At.Sub(tms.sok.begin).Seconds()))
+			}
+		}
+	}
+	return found
+}
+
+// overQuota returns the window with the most arrivals above the quota, if any. The lower quota applies once all VMs must have it.
+func (tms *teams) overQuota(arrivals []time.Time) (found []string) {
+	slices.SortFunc(arrivals, time.Time.Compare)
+	lower, all := tms.lowered, true
+	for _, vmc := range tms.sok.VMs {
+		at, ok := tms.inForce(vmc, tms.lowered)
+		if all = all && ok; at.After(lower) {
+			lower = at
+		}
+	}
+	worst, windows := 0.0, 0
+	for num, begin := range arrivals {
+		quota, count := oldQuota, 0
+		if all && begin.After(lower) {
+			quota, windows = newQuota, windows+1
+		}
+		for _, at := range arrivals[num:] {
+			if at.Sub(begin) < pfleet.QuotaWindow {
+				count++
+			}
+		}
+		limit := (quota[0]*pfleet.QuotaWindow.Seconds()+quota[1])*(1+pfleet.QuotaOverage) + pfleet.QuotaSlack
+		if worst = max(worst, float64(count)/limit); float64(count) > limit {
+			found = append(found, fmt.Sprintf("%d arrivals of the limited team within 5 s of %.2fs, %g are allowed",
+				count, begin.Sub(tms.sok.begin).Seconds(), limit))
+		}
+	}
+	tms.sok.t.Logf("quota: %d arrivals, %d windows of the lower limit, the fullest has %.2f of its limit", len(arrivals), windows, worst)
+	return found[:min(len(found), 1)]
+}
--- a/internal/stand/fault/fault.go
+++ b/internal/stand/fault/fault.go
@@ -38,6 +38,8 @@
 	Address string
 	// Upstream is the IP address and port to which connections are forwarded.
 	Upstream string
+	// DialFrom is the IP address from which the upstream is dialled. Empty means the system's choice.
+	DialFrom string
 	// SendBuffer bounds the bytes that count as delivered to the client while they wait in the system's send buffer,
 	// which holds up to twice as many. Zero means the system's choice, up to some megabytes.
 	SendBuffer int
--- a/internal/stand/fault/pair.go
+++ b/internal/stand/fault/pair.go
@@ -45,7 +45,15 @@
 		resetConn(con)
 		return
 	}
-	ups, err := net.DialTimeout("tcp", prx.cfg.Upstream, dialTimeout) //nolint:noctx // bounded by its timeout
+	dlr := net.Dialer{
+		Timeout: dialTimeout,
+	}
+	if prx.cfg.DialFrom != "" {
+		dlr.LocalAddr = &net.TCPAddr{
+			IP: net.ParseIP(prx.cfg.DialFrom),
+		}
+	}
+	ups, err := dlr.Dial("tcp", prx.cfg.Upstream) //nolint:noctx // bounded by its timeout
 	if err != nil {
 		resetConn(con)
 		return
--- a/internal/stand/pfleet/caller.go
+++ b/internal/stand/pfleet/caller.go
@@ -44,6 +44,7 @@
 	key     string // of the callers' team; empty if they send none
 	results []Result
 	vms     []string // addresses from the last successful look-up
+	pinned  bool     // vms stays as it is
 }
 
 // callerTimeout is how long a caller waits for a response.
@@ -73,12 +74,24 @@
 	cls.key = key
 }
 
+// UseAllVMs makes the callers send to all VMs, whatever look-ups return.
+func (cls *Callers) UseAllVMs() {
+	cls.mu.Lock()
+	defer cls.mu.Unlock()
+	cls.pinned, cls.vms = true, nil
+	for _, vmc := range cls.flt.VMs {
+		cls.vms = append(cls.vms, vmc.CallerAddress())
+	}
+}
+
 // Lookup queries the VMs in random order until one returns addresses, and keeps these for the requests that follow.
 func (cls *Callers) Lookup(ctx context.Context) (addresses []string, err error) {
 	for _, num := range rand.Perm(len(cls.flt.VMs)) {
 		if addresses, err = cls.resolve(ctx, cls.flt.VMs[num]); err == nil {
 			cls.mu.Lock()
-			cls.vms = addresses
+			if !cls.pinned {
+				cls.vms = addresses
+			}
 			cls.mu.Unlock()
 			return addresses, nil
 		}
--- a/internal/stand/pfleet/pfleet.go
+++ b/internal/stand/pfleet/pfleet.go
@@ -37,6 +37,13 @@
 	RetrySlack  = 56
 )
 
+// Bounds of the quotas of teams, which are written into each settings file.
+const (
+	QuotaWindow  = 5 * time.Second
+	QuotaOverage = 0.1
+	QuotaSlack   = 20
+)
+
 // MemoryLimit is the memory limit of a VM in bytes. It is written into each settings file; nothing enforces it.
 const MemoryLimit = 284 << 20
 
@@ -189,7 +196,7 @@
 		return nil, err
 	}
 	flt.cleanups = append(flt.cleanups, stop)
-	prx, err := flt.proxy(inner.Address())
+	prx, err := flt.proxy(inner.Address(), "")
 	if err != nil {
 		return nil, err
 	}
@@ -215,9 +222,9 @@
 // non-idempotent (writes) routes. Its limits, teams and public routes are those of the Fleet.
 func (flt *Fleet) Configure(version int, reads, writes []string) {
 	routes := []map[string]any{}
-	for _, prefix := range slices.Concat(reads, writes) {
+	for num, prefix := range slices.Concat(reads, writes) {
 		kind := "non_idempotent"
-		if slices.Contains(reads, prefix) {
+		if num < len(reads) {
 			kind = "idempotent"
 		}
 		routes = append(routes, map[string]any{
@@ -277,10 +284,12 @@
 // targetAddress returns the address on which targets and proxies listen, with a free port.
 func (flt *Fleet) targetAddress() (address string) { return flt.network + targetHost + ":0" }
 
-func (flt *Fleet) proxy(upstream string) (prx *fault.Proxy, err error) {
+// proxy starts a proxy that dials the upstream from an IP address, or from any if that is empty.
+func (flt *Fleet) proxy(upstream, dialFrom string) (prx *fault.Proxy, err error) {
 	prx, stop, err := fault.New(fault.Config{
 		Address:  flt.targetAddress(),
 		Upstream: upstream,
+		DialFrom: dialFrom,
 	})
 	if err == nil {
 		flt.cleanups = append(flt.cleanups, stop)
@@ -290,7 +299,7 @@
 
 // prepare writes the settings file of a VM and sets up its process and its store proxy.
 func (flt *Fleet) prepare(num int, ip string) (err error) {
-	prx, err := flt.proxy(flt.Store.Address())
+	prx, err := flt.proxy(flt.Store.Address(), ip)
 	if err != nil {
 		return err
 	}
@@ -303,8 +312,8 @@
 	var text strings.Builder
 	fmt.Fprintf(&text, "node = \"vm-%d\"\nzone = %q\nregion = %q\nip = %q\ninternalPortRange = [7720,7735]\n",
 		num, zone, strings.Split(zone, "-")[0], ip)
-	fmt.Fprintf(&text, "bounds = [\"graceS=%g\",\"budgetRatio=%g\",\"budgetWindowS=10\",\"budgetSlack=%d\",\"coldOverage=1.5\",\"coldSlack=5\",\"ttl_max_s=5\",\"maxRegionShift=0.15\"]\n",
-		GraceTime.Seconds(), RetryRatio, RetrySlack)
+	fmt.Fprintf(&text, "bounds = [\"graceS=%g\",\"budgetRatio=%g\",\"budgetWindowS=10\",\"budgetSlack=%d\",\"coldOverage=1.5\",\"coldSlack=5\",\"ttl_max_s=5\",\"maxRegionShift=0.15\",\"quotaWindowS=%g\",\"quotaOverage=%g\",\"quotaSlack=%d\"]\n",
+		GraceTime.Seconds(), RetryRatio, RetrySlack, QuotaWindow.Seconds(), QuotaOverage, QuotaSlack)
 	text.WriteString("[zones]\n")
 	for _, dom := range zones {
 		fmt.Fprintf(&text, "%s = %q\n", dom, strings.Split(dom, "-")[0])
