soak: public routes of both kinds; the checks of runs in one pass

The test sent POST requests of its public callers to a route that the configuration declares idempotent. Change: one public route of each kind. A violation is logged with its request, its runs and the VMs' log lines.

--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -141,8 +141,8 @@
 	// The limits follow from the version, not from the seed, so that the faults of earlier seeds stay the same.
 	sok.Limits.HeaderBytes = 16384 << (sok.version % 3)
 	sok.Limits.IdleTimeout = time.Duration(5+sok.version%4*5) * time.Second
-	reads := []string{"/read/", fmt.Sprintf("/v%d/", sok.version), openPrefix}
-	sok.Configure(sok.version, append(reads, sok.teams.growth()...), []string{"/write/"})
+	reads := []string{"/read/", fmt.Sprintf("/v%d/", sok.version), openReads}
+	sok.Configure(sok.version, append(reads, sok.teams.growth()...), []string{"/write/", openWrites})
 }
 
 func (sok *soak) recordEvent(format string, args ...any) {
@@ -322,7 +322,7 @@
 
 func (sok *soak) check() {
 	results := sok.callers.Results()
-	violations := append(pfleet.Violations(append(sok.teams.results(), results...), sok.Targets), sok.teams.violations()...)
+	violations := append(sok.teams.violations(), pfleet.Violations(sok.teams.results(), sok.Targets)...)
 	for _, vmc := range sok.VMs {
 		if size, err := vmc.PeakMemory(); err == nil && size > pfleet.MemoryLimit {
 			violations = append(violations, fmt.Sprintf("%s used %d MiB at most, its limit is %d MiB", vmc.Name(), size>>20, pfleet.MemoryLimit>>20))
@@ -346,6 +346,7 @@
 	}
 	for _, text := range violations {
 		sok.t.Error(text)
+		sok.teams.trace(text)
 	}
 	if len(violations) > 0 {
 		sok.fatal("guarantees violated")
--- a/internal/proof/soak/teams_test.go
+++ b/internal/proof/soak/teams_test.go
@@ -17,7 +17,9 @@
 var refuseFlag = flag.Duration("soak.refuse", 5*time.Second, "how long the store turns a VM away after a key was taken away")
 
 const (
-	openPrefix = "/open/"
+	// openReads and openWrites are the prefixes of the public routes.
+	openReads  = "/open/"
+	openWrites = "/open-write/"
 	// secret begins all keys.
 	secret = "s3cr3t-"
 	// applyBound is the time within which a VM that reaches the store applies a configuration, refusedBound that of a VM that the store
@@ -49,7 +51,16 @@
 type group struct {
 	*pfleet.Callers
 	team string
-	load func(ctx context.Context)
+	// share is the part of its requests that must be served, as 1/share.
+	share int
+	load  func(ctx context.Context)
+}
+
+// request is a request that was sent, with its callers and their team.
+type request struct {
+	pfleet.Result
+	callers *pfleet.Callers
+	team    string
 }
 
 // teams are the callers of several teams, the changes of the teams while the faults go on, and what is known of the VMs then.
@@ -60,7 +71,8 @@
 	refused string        // IP of the VM that the store turns away
 	faults  map[*pfleet.VM]map[string]bool
 	spans   map[*pfleet.VM][]span
-	done    int // changes made so far
+	sent    map[string]request // by id
+	done    int                // changes made so far
 	routes  int
 	lowered time.Time // acknowledgement of the lower quota
 	revoked time.Time // acknowledgement of the revocation
@@ -72,24 +84,30 @@
 		groups: make(map[string]*group),
 		faults: make(map[*pfleet.VM]map[string]bool),
 		spans:  make(map[*pfleet.VM][]span),
+		sent:   make(map[string]request),
 	}
 	for _, vmc := range sok.VMs {
 		tms.faults[vmc] = make(map[string]bool)
 		tms.spans[vmc] = []span{{usable: true}}
 	}
-	sok.Public = []string{openPrefix}
+	sok.Public = []string{openReads, openWrites}
 	sok.Teams = []pfleet.Team{
 		{Name: "stays", Keys: []string{secret + "stays"}},
 		{Name: "loses", Keys: []string{secret + "lost", secret + "kept"}},
 		{Name: "limited", Keys: []string{secret + "limited"}, RatePerS: oldQuota[0], Burst: oldQuota[1]},
 	}
 	sok.callers.SetKey(secret + "stays")
-	open := func(bool) string { return openPrefix + "a" }
-	tms.add("public", "", 10, open)
-	tms.add("kept", "loses", 20, sok.path)
-	tms.add("lost", "loses", 40, sok.path).UseAllVMs()
-	tms.add("limited", "limited", 80, sok.path).UseAllVMs()
-	pip := tms.add("pipelined", "stays", 0, nil)
+	open := func(idempotent bool) string {
+		if idempotent {
+			return openReads + "a"
+		}
+		return openWrites + "a"
+	}
+	tms.add("public", "", 10, 4, open)
+	tms.add("kept", "loses", 20, 4, sok.path)
+	tms.add("lost", "loses", 40, 20, sok.path).UseAllVMs()
+	tms.add("limited", "limited", 80, 50, sok.path).UseAllVMs()
+	pip := tms.add("pipelined", "stays", 0, 4, nil)
 	pip.SetKey(secret + "stays")
 	pip.load = func(ctx context.Context) {
 		_, _ = pip.Lookup(ctx) // on failure there is no connection, which the check of the served requests shows
@@ -102,13 +120,14 @@
 	return tms
 }
 
-func (tms *teams) add(name, team string, rate int, path func(bool) string) (grp *group) {
+func (tms *teams) add(name, team string, rate, share int, path func(bool) string) (grp *group) {
 	cls, stop := pfleet.NewCallers(tms.sok.Fleet)
 	tms.sok.t.Cleanup(stop)
 	cls.SetKey(secret + name)
 	grp = &group{
 		Callers: cls,
 		team:    team,
+		share:   share,
 		load:    func(ctx context.Context) { cls.Run(ctx, rate, path) },
 	}
 	if team == "" {
@@ -132,9 +151,12 @@
 	return prefixes
 }
 
+// last returns the VM that the store turns away. It has no other faults.
+func (tms *teams) last() (vmc *pfleet.VM) { return tms.sok.VMs[len(tms.sok.VMs)-1] }
+
 // step makes the changes that are due. Their times don't depend on the seed.
 func (tms *teams) step() {
-	sok, last := tms.sok, tms.sok.VMs[len(tms.sok.VMs)-1] // the last VM has no other faults
+	sok, last := tms.sok, tms.last()
 	for _, chg := range []struct {
 		at   time.Duration
 		make func()
@@ -225,114 +247,121 @@
 	}
 }
 
-// inForce returns when a VM must have applied a configuration: it could learn of it for the bound without a break. ok is false if never.
-func (tms *teams) inForce(vmc *pfleet.VM, acknowledged time.Time) (at time.Time, ok bool) {
+// inForce returns when a VM must have applied a configuration: it could learn of it for the bound without a break. That is so at the latest
+// after the end of the faults.
+func (tms *teams) inForce(vmc *pfleet.VM, acknowledged time.Time) (at time.Time) {
 	bound := applyBound
-	if vmc == tms.sok.VMs[len(tms.sok.VMs)-1] {
+	if vmc == tms.last() {
 		bound = refusedBound
 	}
+	if acknowledged.IsZero() {
+		return time.Now() // not made in this run
+	}
 	for num, spn := range tms.spans[vmc] {
-		from := spn.at
-		if from.Before(acknowledged) {
-			from = acknowledged
+		if at = spn.at.Add(bound); spn.at.Before(acknowledged) {
+			at = acknowledged.Add(bound)
 		}
-		at = from.Add(bound)
 		if spn.usable && (num+1 == len(tms.spans[vmc]) || at.Before(tms.spans[vmc][num+1].at)) {
-			return at, true
+			break
 		}
 	}
-	return at, false
+	return at
 }
 
+// count notes the callers and the team of all requests, and checks that each group was served.
+func (tms *teams) count() (found []string) {
+	for _, res := range tms.sok.callers.Results() {
+		tms.sent[res.ID] = request{Result: res, callers: tms.sok.callers, team: "stays"}
+	}
+	for name, grp := range tms.groups {
+		count, all := make(map[int]int), grp.Results()
+		for _, res := range all {
+			count[res.Status]++
+			tms.sent[res.ID] = request{Result: res, callers: grp.Callers, team: grp.team}
+		}
+		tms.sok.t.Logf("%s: responses by status %v", name, count)
+		if count[http.StatusOK] < len(all)/grp.share {
+			found = append(found, fmt.Sprintf("%s: only %d of %d requests were served", name, count[http.StatusOK], len(all)))
+		}
+	}
+	return found
+}
+
+// results returns the results of all requests, those of the soak's callers included.
 func (tms *teams) results() (all []pfleet.Result) {
-	for _, grp := range tms.groups {
-		all = append(all, grp.Results()...)
+	for _, req := range tms.sent {
+		all = append(all, req.Result)
 	}
 	return all
 }
 
 // violations compares what callers of all teams and targets saw.
 func (tms *teams) violations() (found []string) {
-	team, byID := make(map[string]string), make(map[string]pfleet.Result)
-	note := func(name string, results []pfleet.Result) {
-		for _, res := range results {
-			team[res.ID], byID[res.ID] = name, res
-		}
-	}
-	note("stays", tms.sok.callers.Results())
-	for name, grp := range tms.groups {
-		results := grp.Results()
-		note(grp.team, results)
-		count := make(map[int]int)
-		for _, res := range results {
-			count[res.Status]++
-		}
-		tms.sok.t.Logf("%s: responses by status %v", name, count)
-		if share := map[string]int{"public": 4, "kept": 4, "pipelined": 4, "lost": 20, "limited": 50}[name]; count[http.StatusOK] < len(results)/share {
-			found = append(found, fmt.Sprintf("%s: only %d of %d requests were served", name, count[http.StatusOK], len(results)))
-		}
+	found = tms.count()
+	bounds := make(map[string]time.Time) // of the revoked key, by VM
+	for _, vmc := range tms.sok.VMs {
+		bounds[vmc.CallerAddress()] = tms.inForce(vmc, tms.revoked)
 	}
 	var arrivals []time.Time
 	for num, tgt := range tms.sok.Targets {
-		linkFaults := num < targets/2
 		for _, run := range tgt.Runs() {
-			res := byID[run.ID]
-			if name := run.Header.Get("Tenant"); name != team[run.ID] || run.Header["Credential"] != nil || strings.Contains(fmt.Sprint(run.Header), secret) {
-				found = append(found, fmt.Sprintf("%s: request of team %q has headers %v", run.ID, team[run.ID], run.Header))
+			req, at := tms.sent[run.ID], run.At
+			if num < targets/2 && run.At.Sub(req.At) > heldTime {
+				at = req.At // the faults of the target's link may have held the request
+			} else if req.team == "limited" {
+				arrivals = append(arrivals, at)
+			}
+			if run.Header.Get("Tenant") != req.team || run.Header["Credential"] != nil || strings.Contains(fmt.Sprint(run.Header), secret) {
+				found = append(found, fmt.Sprintf("%s: request of team %q has headers %v", run.ID, req.team, run.Header))
 			}
-			if res.Status == http.StatusUnauthorized || res.Status == http.StatusTooManyRequests || res.Status == http.StatusServiceUnavailable {
-				found = append(found, fmt.Sprintf("%s: refused with status %d, but %s ran it (idempotent %v)", run.ID, res.Status, tgt.ID, res.Idempotent))
+			if slices.Contains([]int{http.StatusUnauthorized, http.StatusTooManyRequests, http.StatusServiceUnavailable}, req.Status) {
+				found = append(found, fmt.Sprintf("%s: refused with status %d, but %s ran it", run.ID, req.Status, tgt.ID))
 			}
-			if team[run.ID] == "limited" && (!linkFaults || run.At.Sub(res.At) <= heldTime) {
-				arrivals = append(arrivals, run.At)
+			if bound := bounds[req.VM]; req.callers == tms.groups["lost"].Callers && at.After(bound) {
+				found = append(found, fmt.Sprintf("%s: %s ran it %v after the bound for its revoked key: %+v", run.ID, tgt.ID, at.Sub(bound), req.Result))
 			}
 		}
 	}
-	return append(append(found, tms.lateRuns(byID)...), tms.overQuota(arrivals)...)
+	return append(found, tms.overQuota(arrivals)...)
 }
 
-// lateRuns returns the runs of requests whose key had been taken away. The faults of a target's link can hold a request, so that behind one
-// that has faults the time at which it was sent counts.
-func (tms *teams) lateRuns(byID map[string]pfleet.Result) (found []string) {
-	lost := make(map[string]bool)
-	for _, res := range tms.groups["lost"].Results() {
-		lost[res.ID] = true
+// trace logs what is known of the request that a violation begins with.
+func (tms *teams) trace(violation string) {
+	id, _, _ := strings.Cut(violation, ":")
+	req, ok := tms.sent[id]
+	if !ok {
+		return
 	}
-	bounds := make(map[string]time.Time)
-	for _, vmc := range tms.sok.VMs {
-		if at, ok := tms.inForce(vmc, tms.revoked); ok {
-			bounds[vmc.CallerAddress()] = at
-		}
-	}
-	for num, tgt := range tms.sok.Targets {
+	tms.sok.t.Logf("%s: sent at %.3fs: %+v", id, req.At.Sub(tms.sok.begin).Seconds(), req.Result)
+	for _, tgt := range tms.sok.Targets {
 		for _, run := range tgt.Runs() {
-			res, at := byID[run.ID], run.At
-			if num < targets/2 {
-				at = res.At
+			if run.ID == id {
+				tms.sok.t.Logf("%s: run at %s at %.3fs, headers %v", id, tgt.ID, run.At.Sub(tms.sok.begin).Seconds(), run.Header)
 			}
-			if bound, ok := bounds[res.VM]; lost[run.ID] && ok && at.After(bound) {
-				found = append(found, fmt.Sprintf("%s: %s ran it at %.2fs, %v after the bound for its revoked key at %s; sent at %.2fs", run.ID, tgt.ID,
-					run.At.Sub(tms.sok.begin).Seconds(), at.Sub(bound), res.VM, res.At.Sub(tms.sok.begin).Seconds()))
+		}
+	}
+	for _, vmc := range tms.sok.VMs {
+		for _, line := range strings.Split(vmc.Tail(1<<20), "\n") {
+			if strings.Contains(line, id) {
+				tms.sok.t.Logf("%s: %s", vmc.Name(), line)
 			}
 		}
 	}
-	return found
 }
 
 // overQuota returns the window with the most arrivals above the quota, if any. The lower quota applies once all VMs must have it.
 func (tms *teams) overQuota(arrivals []time.Time) (found []string) {
 	slices.SortFunc(arrivals, time.Time.Compare)
-	lower, all := tms.lowered, true
+	lower := tms.lowered
 	for _, vmc := range tms.sok.VMs {
-		at, ok := tms.inForce(vmc, tms.lowered)
-		if all = all && ok; at.After(lower) {
+		if at := tms.inForce(vmc, tms.lowered); at.After(lower) {
 			lower = at
 		}
 	}
 	worst, windows := 0.0, 0
 	for num, begin := range arrivals {
 		quota, count := oldQuota, 0
-		if all && begin.After(lower) {
+		if begin.After(lower) {
 			quota, windows = newQuota, windows+1
 		}
 		for _, at := range arrivals[num:] {
