--- a/internal/proof/soak/teams_test.go
+++ b/internal/proof/soak/teams_test.go
@@ -322,7 +322,7 @@
 	}
 }
 
-// overQuota returns the window with the most arrivals above the quota, if any. The lower quota applies once all VMs must have it.
+// overQuota returns the first window with more arrivals than the quota allows, if any. The lower quota applies once all VMs must have it.
 func (tms *teams) overQuota(arrivals []time.Time) (found []string) {
 	slices.SortFunc(arrivals, time.Time.Compare)
 	lower := tms.lowered
