node: a VM starts also if the port of the mirror is taken

Change: an error line, and the VM serves without reading routing tables from others. Not tested: package node has no tests of its own.

--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -161,10 +161,7 @@
 		nod.close()
 		return nil, nil, err
 	}
-	if err = nod.startMirror(); err != nil {
-		nod.close()
-		return nil, nil, err
-	}
+	nod.startMirror()
 	reports := startComponent(nod, func() (*reporter, func()) { return newReporter(cfg) })
 	nod.startFront(reports, scp)
 	nod.waitForTable()
@@ -270,10 +267,11 @@
 	return nil
 }
 
-// startMirror starts to pass the routing table to other VMs, and to read it from them while the store does not answer.
-func (nod *Node) startMirror() (err error) {
+// startMirror starts to pass the routing table to other VMs, and to read it from them while the store does not answer. Without it, for
+// example because another process has the port, the VM serves all the same.
+func (nod *Node) startMirror() {
 	if nod.cfg.Tables == nil {
-		return nil
+		return
 	}
 	_, stop, err := mirror.New(mirror.Config{
 		Address: nod.self.PeerAddress,
@@ -287,10 +285,10 @@
 		Log:     nod.cfg.Log,
 	})
 	if err != nil {
-		return err
+		nod.cfg.Log.Error("routing tables are not read from other VMs", zap.Error(err))
+		return
 	}
 	nod.cleanups = append(nod.cleanups, stop)
-	return nil
 }
 
 func (nod *Node) recordReports(reports []cast.Report) {
