--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -1,9 +1,10 @@
-// Package mirror passes the routing table and evacuations from VM to VM while the store does not answer some of them.
+// Package mirror passes the routing table from VM to VM while the store does not answer some of them.
 //
 // The store may refuse some VMs and serve the others and the operators. A VM that it refuses would serve by an old routing table, and accept
 // keys that have been taken away, until the store answers it again. Such a VM asks other VMs, one after the other at a short interval, for a
 // newer table than its own. It takes a table only in its stored form, decodes it like one from the store, and only if its version is
-// newer. Of evacuations it takes those that begin; only the store ends one. Everything else comes from the store alone.
+// newer. Everything else comes from the store alone, evacuations too: only the store ends one, so that a VM that had learnt one would keep
+// to it for the rest of the outage.
 //
 // Calls are neither encrypted nor authenticated; the package relies on a network in which only the entry VMs reach the port.
 package mirror
@@ -151,18 +152,13 @@
 
 // Question is the argument of a call: what the asking VM knows.
 type Question struct {
-	Version  uint64
-	Revision int64
+	Version uint64
 }
 
 // Answer is what the other VM knows beyond it.
 type Answer struct {
 	// Table is the compressed form of a newer table, empty if there is none.
 	Table []byte
-	// Evacuated are the evacuated failure domains, if the other VM has read later changes of the store, and Revision is the revision
-	// up to which it has read them.
-	Evacuated []string
-	Revision  int64
 }
 
 // service is the receiver of the RPC calls.
@@ -175,12 +171,6 @@
 	if version > que.Version && vew.Table != nil && vew.Table.Version == version {
 		ans.Table = data
 	}
-	if vew.Revision > que.Revision {
-		ans.Revision = vew.Revision
-		for _, dom := range vew.EvacuatedDomains() {
-			ans.Evacuated = append(ans.Evacuated, string(dom))
-		}
-	}
 	return nil
 }
 
@@ -213,8 +203,7 @@
 	defer clt.Close() //nolint:errcheck // ends a call that has timed out
 	vew := mir.cfg.View()
 	que := Question{
-		Version:  vew.Table.Version,
-		Revision: vew.Revision,
+		Version: vew.Table.Version,
 	}
 	var ans Answer
 	select {
@@ -226,10 +215,10 @@
 	if err != nil {
 		return err
 	}
-	return mir.apply(ctx, vmc, vew, ans)
+	return mir.apply(ctx, vmc, ans)
 }
 
-func (mir *Mirror) apply(ctx context.Context, vmc cardamompass.VM, vew *view.View, ans Answer) (err error) {
+func (mir *Mirror) apply(ctx context.Context, vmc cardamompass.VM, ans Answer) (err error) {
 	var chs []cardamompass.Change
 	if len(ans.Table) > 0 {
 		tbl, err := mir.cfg.Codec.DecodeTable(ans.Table)
@@ -242,14 +231,6 @@
 		mir.cfg.Log.Info("routing table read from vm", zap.String("vm", string(vmc.ID)), zap.Uint64("version", tbl.Version),
 			zap.Int("bytes", len(ans.Table)))
 	}
-	for _, dom := range ans.Evacuated {
-		if !vew.Evacuated(cardamompass.FailureDomain(dom)) {
-			chs = append(chs, cardamompass.Change{
-				Evacuated: cardamompass.FailureDomain(dom),
-				Revision:  ans.Revision,
-			})
-		}
-	}
 	if len(chs) > 0 {
 		mir.cfg.Apply(ctx, chs)
 	}
--- a/internal/fleet/view/follow.go
+++ b/internal/fleet/view/follow.go
@@ -117,8 +117,8 @@
 	return flw.cfg.Clock.Now().Sub(time.Unix(0, since))
 }
 
-// ApplyPeerChanges applies changes that another VM has reported. The view stays at its revision. A routing table that is not newer changes
-// nothing, nor does an evacuation whose Revision, up to which the other VM has read the store, is not beyond that of the view. It returns without effect when ctx ends before.
+// ApplyPeerChanges applies routing tables that another VM has reported. The view stays at its revision, and a table that is not newer
+// changes nothing. It returns without effect when ctx ends before.
 func (flw *Follower) ApplyPeerChanges(ctx context.Context, chs []cardamompass.Change) {
 	select {
 	case flw.peer <- chs:
@@ -167,26 +167,13 @@
 			flw.applyEarly(chs)
 		case chs := <-flw.peer:
 			tmr.Stop()
-			if chs = flw.withoutOutdated(chs); len(chs) > 0 {
-				flw.applyEarly(chs)
-			}
+			flw.applyEarly(chs)
 		case <-tmr.C():
 			flw.purge()
 		}
 	}
 }
 
-// withoutOutdated returns the changes from another VM without the evacuations that it knew of at a revision which this VM has read
-// meanwhile. Such an evacuation may have ended, and its end would not be read again.
-func (flw *Follower) withoutOutdated(chs []cardamompass.Change) (out []cardamompass.Change) {
-	for _, chg := range chs {
-		if chg.Evacuated == "" || chg.Revision > flw.View().Revision {
-			out = append(out, chg)
-		}
-	}
-	return out
-}
-
 // applyEarly applies changes before the call that reads them has ended. The view stays at its revision, from which a call that fails is
 // repeated.
 func (flw *Follower) applyEarly(chs []cardamompass.Change) {
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -65,11 +65,6 @@
 // Evacuated reports whether a failure domain is evacuated, so that its targets must get no requests.
 func (vew *View) Evacuated(dom cardamompass.FailureDomain) bool { return vew.evacuated[dom] }
 
-// EvacuatedDomains returns the evacuated failure domains, sorted.
-func (vew *View) EvacuatedDomains() (list []cardamompass.FailureDomain) {
-	return slices.Sorted(maps.Keys(vew.evacuated))
-}
-
 // VMs returns the running VMs, sorted by id. Callers must not modify the result.
 func (vew *View) VMs() (list []cardamompass.VM) { return vew.sortedVMs }
 
