--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -86,7 +86,7 @@
 	exchanger *cast.Exchanger
 	balancer  *place.Balancer
 	sender    *send.Sender
-	tokens    *tokens.Bank
+	tokens    *tokens.Limiter
 	front     *front.Front
 	room      chan struct{} // of capacity 1; see announceRoom
 	pipe      *pipe.Pipe
@@ -254,7 +254,7 @@
 		OnReports:    nod.recordReports,
 		OnDepartures: nod.recordDepartures,
 		OnAsks:       nod.tokens.HandleAsks,
-		OnGifts:      nod.tokens.HandleGifts,
+		OnGrants:     nod.tokens.HandleGrants,
 		Clock:        nod.cfg.Clock,
 		Log:          nod.cfg.Log,
 	})
--- a/internal/edge/node/quota.go
+++ b/internal/edge/node/quota.go
@@ -11,7 +11,7 @@
 )
 
 // newTokens returns the quotas of teams. They use the follower and the exchanger, which start later.
-func (nod *Node) newTokens(scp tally.Scope) (bnk *tokens.Bank) {
+func (nod *Node) newTokens(scp tally.Scope) (lim *tokens.Limiter) {
 	return tokens.New(tokens.Config{
 		Self:        nod.self,
 		Regions:     nod.cfg.Settings.Regions,
--- a/internal/edge/tokens/tick.go
+++ b/internal/edge/tokens/tick.go
@@ -9,7 +9,7 @@
 	"cardamompass/internal/steer/quota"
 )
 
-// metrics are the counters of a Bank. They are not split by team, so that their number does not grow with the teams.
+// metrics are the counters of a Limiter. They are not split by team, so that their number does not grow with the teams.
 type metrics struct {
 	taken, refused, returned tally.Counter
 	// given and received count whole tokens.
@@ -41,61 +41,61 @@
 }
 
 // Tick does the periodic work. It is called every TickInterval, from one goroutine at a time.
-func (bnk *Bank) Tick() {
-	bnk.mu.Lock()
-	limited := bnk.ledger.Limited()
-	bnk.ticks++
-	ticks := bnk.ticks
-	bnk.mu.Unlock()
+func (lim *Limiter) Tick() {
+	lim.mu.Lock()
+	limited := lim.ledger.Limited()
+	lim.ticks++
+	ticks := lim.ticks
+	lim.mu.Unlock()
 	if ticks%idleObserveTicks == 1 || (limited && ticks%observeTicks == 1) {
-		bnk.observe()
+		lim.observe()
 	}
-	if !limited && bnk.refusing == 0 {
+	if !limited && lim.refusing == 0 {
 		return
 	}
-	bnk.sendAsks()
-	bnk.report(ticks%metricTicks == 0)
+	lim.sendAsks()
+	lim.report(ticks%metricTicks == 0)
 }
 
 // observe updates the VM's share.
-func (bnk *Bank) observe() {
-	vms := append(bnk.cfg.OtherVMs(), bnk.cfg.Self)
+func (lim *Limiter) observe() {
+	vms := append(lim.cfg.OtherVMs(), lim.cfg.Self)
 	known := make(map[cardamompass.FailureDomain]bool)
 	for _, vmc := range vms {
 		known[vmc.FailureDomain] = true
 	}
-	age := bnk.cfg.StoreAge()
+	age := lim.cfg.StoreAge()
 	obs := quota.Observation{
 		Weights: direct.Weights(vms),
 		Domains: len(known),
-		Fresh:   age >= 0 && (age < freshStoreAge || bnk.cfg.StoreOutage() == 0), // a watch without changes lasts longer
+		Fresh:   age >= 0 && (age < freshStoreAge || lim.cfg.StoreOutage() == 0), // a watch without changes lasts longer
 	}
-	for dom := range bnk.cfg.Regions {
+	for dom := range lim.cfg.Regions {
 		if !known[dom] {
 			obs.EmptyDomains++
 		}
 	}
-	now := bnk.cfg.Clock.Now()
-	bnk.mu.Lock()
-	defer bnk.mu.Unlock()
-	obs.Returned = bnk.returned
-	bnk.ledger.SetShare(bnk.fleet.Observe(obs, now), now)
+	now := lim.cfg.Clock.Now()
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	obs.Returned = lim.returned
+	lim.ledger.SetShare(lim.fleet.Observe(obs, now), now)
 }
 
 // sendAsks asks other VMs for the tokens that are missing.
-func (bnk *Bank) sendAsks() {
-	exc := bnk.exchange.Load()
+func (lim *Limiter) sendAsks() {
+	exc := lim.exchange.Load()
 	if exc == nil {
 		return
 	}
-	now := bnk.cfg.Clock.Now()
-	bnk.mu.Lock()
-	all := bnk.ledger.Asks(now)
+	now := lim.cfg.Clock.Now()
+	lim.mu.Lock()
+	all := lim.ledger.Asks(now)
 	var recipients []cardamompass.VMID
 	if len(all.Asks) > 0 {
-		recipients = bnk.fleet.Recipients(bnk.rnd)
+		recipients = lim.fleet.Recipients(lim.rnd)
 	}
-	bnk.mu.Unlock()
+	lim.mu.Unlock()
 	for num, vid := range recipients {
 		asks := all.For(num)
 		if len(asks.Asks) == 0 {
@@ -106,57 +106,57 @@
 }
 
 // HandleAsks answers asks of another VM.
-func (bnk *Bank) HandleAsks(from cardamompass.VMID, asks quota.Asks) {
-	exc := bnk.exchange.Load()
-	if exc == nil || !(*exc).MaySendGifts(from, len(asks.Asks)) {
+func (lim *Limiter) HandleAsks(from cardamompass.VMID, asks quota.Asks) {
+	exc := lim.exchange.Load()
+	if exc == nil || !(*exc).MaySendGrants(from, len(asks.Asks)) {
 		return
 	}
-	now := bnk.cfg.Clock.Now()
-	bnk.mu.Lock()
-	gfs := quota.Gifts{
+	now := lim.cfg.Clock.Now()
+	lim.mu.Lock()
+	grs := quota.Grants{
 		Round: asks.Round,
 	}
 	for _, ask := range asks.Asks {
-		if gft, ok := bnk.ledger.Give(ask, now); ok {
-			gfs.Gifts = append(gfs.Gifts, gft)
+		if grt, ok := lim.ledger.Give(ask, now); ok {
+			grs.Grants = append(grs.Grants, grt)
 		}
 	}
-	bnk.gifts++
-	gfs.Number = bnk.gifts
-	bnk.mu.Unlock()
-	if len(gfs.Gifts) > 0 {
-		(*exc).SendGifts(from, gfs) // tokens that were not sent are lost
+	lim.grants++
+	grs.Number = lim.grants
+	lim.mu.Unlock()
+	if len(grs.Grants) > 0 {
+		(*exc).SendGrants(from, grs) // tokens that were not sent are lost
 	}
 }
 
-// HandleGifts adds gifts of another VM.
-func (bnk *Bank) HandleGifts(gfs quota.Gifts) {
-	now := bnk.cfg.Clock.Now()
-	bnk.mu.Lock()
-	defer bnk.mu.Unlock()
-	bnk.ledger.Receive(gfs, now)
+// HandleGrants adds grants of another VM.
+func (lim *Limiter) HandleGrants(grs quota.Grants) {
+	now := lim.cfg.Clock.Now()
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	lim.ledger.Receive(grs, now)
 }
 
 // report logs the teams of which requests begin to be refused or no longer are, and updates the metrics.
-func (bnk *Bank) report(metrics bool) {
-	now := bnk.cfg.Clock.Now()
-	bnk.mu.Lock()
-	chs := bnk.ledger.Changes(now)
-	cnt := bnk.ledger.Total()
-	share := bnk.ledger.Share()
-	bnk.mu.Unlock()
+func (lim *Limiter) report(metrics bool) {
+	now := lim.cfg.Clock.Now()
+	lim.mu.Lock()
+	chs := lim.ledger.Changes(now)
+	cnt := lim.ledger.Total()
+	share := lim.ledger.Share()
+	lim.mu.Unlock()
 	for _, chg := range chs {
 		if chg.Refusing {
-			bnk.refusing++
-			bnk.cfg.Log.Info("quota refusals begin", zap.String("team", string(chg.Team)))
+			lim.refusing++
+			lim.cfg.Log.Info("quota refusals begin", zap.String("team", string(chg.Team)))
 		} else {
-			bnk.refusing--
-			bnk.cfg.Log.Info("quota refusals end", zap.String("team", string(chg.Team)), zap.Int64("refused", chg.Refused))
+			lim.refusing--
+			lim.cfg.Log.Info("quota refusals end", zap.String("team", string(chg.Team)), zap.Int64("refused", chg.Refused))
 		}
 	}
 	if metrics || len(chs) > 0 {
-		bnk.met.update(cnt)
-		bnk.met.share.Update(share)
-		bnk.met.refusing.Update(float64(max(0, bnk.refusing)))
+		lim.met.update(cnt)
+		lim.met.share.Update(share)
+		lim.met.refusing.Update(float64(max(0, lim.refusing)))
 	}
 }
--- a/internal/edge/tokens/tokens.go
+++ b/internal/edge/tokens/tokens.go
@@ -29,16 +29,16 @@
 	freshStoreAge = 2 * time.Second
 )
 
-// Exchange sends asks and gifts to other VMs. Implementations are safe for concurrent use.
+// Exchange sends asks and grants to other VMs. Implementations are safe for concurrent use.
 type Exchange interface {
-	// SendAsks and SendGifts send a datagram, and report false if it was not sent.
+	// SendAsks and SendGrants send a datagram, and report false if it was not sent.
 	SendAsks(to cardamompass.VMID, asks quota.Asks) (ok bool)
-	SendGifts(to cardamompass.VMID, gfs quota.Gifts) (ok bool)
-	// MaySendGifts reports whether gifts of a number of teams can be sent to a VM now.
-	MaySendGifts(to cardamompass.VMID, teams int) (ok bool)
+	SendGrants(to cardamompass.VMID, grs quota.Grants) (ok bool)
+	// MaySendGrants reports whether grants of a number of teams can be sent to a VM now.
+	MaySendGrants(to cardamompass.VMID, teams int) (ok bool)
 }
 
-// Config configures a Bank.
+// Config configures a Limiter.
 type Config struct {
 	Self cardamompass.VM
 	// Regions maps every failure domain to its region.
@@ -55,8 +55,8 @@
 	Scope       tally.Scope
 }
 
-// Bank is the ledger of a running VM. It implements cardamompass.Quota and is safe for concurrent use.
-type Bank struct {
+// Limiter is the ledger of a running VM. It implements cardamompass.Quota and is safe for concurrent use.
+type Limiter struct {
 	cfg      Config
 	met      metrics
 	exchange atomic.Pointer[Exchange]
@@ -67,16 +67,16 @@
 	rnd      *rand.Rand
 	table    *cardamompass.RoutingTable // nil until one is known
 	ticks    int
-	gifts    uint64 // number of gifts sent
+	grants   uint64 // number of grants sent
 	refusing int    // teams of which requests are being refused; used only by Tick
 	returned bool   // the store listed an earlier process of this VM
 }
 
-var _ cardamompass.Quota = (*Bank)(nil)
+var _ cardamompass.Quota = (*Limiter)(nil)
 
-// New returns a Bank without teams.
-func New(cfg Config) (bnk *Bank) {
-	return &Bank{
+// New returns a Limiter without teams.
+func New(cfg Config) (lim *Limiter) {
+	return &Limiter{
 		cfg: cfg,
 		met: newMetrics(cfg.Scope),
 		ledger: quota.New(quota.Config{
@@ -89,64 +89,64 @@
 }
 
 // Connect sets the exchange with the other VMs. Until then, the VM has only the tokens that it mints.
-func (bnk *Bank) Connect(exc Exchange) { bnk.exchange.Store(&exc) }
+func (lim *Limiter) Connect(exc Exchange) { lim.exchange.Store(&exc) }
 
 // Take implements cardamompass.Quota.
-func (bnk *Bank) Take(team cardamompass.TeamName) (ok bool, retryAfter time.Duration) {
-	now := bnk.cfg.Clock.Now()
-	bnk.mu.Lock()
-	defer bnk.mu.Unlock()
-	return bnk.ledger.Take(team, now)
+func (lim *Limiter) Take(team cardamompass.TeamName) (ok bool, retryAfter time.Duration) {
+	now := lim.cfg.Clock.Now()
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	return lim.ledger.Take(team, now)
 }
 
 // Return implements cardamompass.Quota.
-func (bnk *Bank) Return(team cardamompass.TeamName) {
-	now := bnk.cfg.Clock.Now()
-	bnk.mu.Lock()
-	defer bnk.mu.Unlock()
-	bnk.ledger.Return(team, now)
+func (lim *Limiter) Return(team cardamompass.TeamName) {
+	now := lim.cfg.Clock.Now()
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	lim.ledger.Return(team, now)
 }
 
 // SetTable applies the teams of a routing table, which may be nil.
-func (bnk *Bank) SetTable(tbl *cardamompass.RoutingTable) {
+func (lim *Limiter) SetTable(tbl *cardamompass.RoutingTable) {
 	if tbl == nil {
 		return
 	}
-	now := bnk.cfg.Clock.Now()
-	bnk.mu.Lock()
-	defer bnk.mu.Unlock()
-	if tbl != bnk.table {
-		bnk.table = tbl
-		bnk.ledger.SetTeams(tbl.Teams, now)
+	now := lim.cfg.Clock.Now()
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	if tbl != lim.table {
+		lim.table = tbl
+		lim.ledger.SetTeams(tbl.Teams, now)
 	}
 }
 
 // SetReturned records that the store listed an earlier process of this VM when this one started.
-func (bnk *Bank) SetReturned() {
-	bnk.mu.Lock()
-	defer bnk.mu.Unlock()
-	bnk.returned = true
+func (lim *Limiter) SetReturned() {
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	lim.returned = true
 }
 
 // SetBounds applies changed bounds.
-func (bnk *Bank) SetBounds(bnd quota.Bounds) {
-	now := bnk.cfg.Clock.Now()
-	bnk.mu.Lock()
-	defer bnk.mu.Unlock()
-	bnk.ledger.SetBounds(bnd)
-	if bnk.table != nil {
-		bnk.ledger.SetTeams(bnk.table.Teams, now)
+func (lim *Limiter) SetBounds(bnd quota.Bounds) {
+	now := lim.cfg.Clock.Now()
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	lim.ledger.SetBounds(bnd)
+	if lim.table != nil {
+		lim.ledger.SetTeams(lim.table.Teams, now)
 	}
 }
 
 // Dump returns the ledger for the state dump; nil if no team has a limit.
-func (bnk *Bank) Dump() (dmp *quota.Dump) {
-	now := bnk.cfg.Clock.Now()
-	bnk.mu.Lock()
-	defer bnk.mu.Unlock()
-	if !bnk.ledger.Limited() {
+func (lim *Limiter) Dump() (dmp *quota.Dump) {
+	now := lim.cfg.Clock.Now()
+	lim.mu.Lock()
+	defer lim.mu.Unlock()
+	if !lim.ledger.Limited() {
 		return nil
 	}
-	val := bnk.ledger.Dump(now)
+	val := lim.ledger.Dump(now)
 	return &val
 }
--- a/internal/edge/tokens/tokens_test.go
+++ b/internal/edge/tokens/tokens_test.go
@@ -34,10 +34,10 @@
 	clk.now = clk.now.Add(ela)
 }
 
-// fleet is an Exchange of Banks without a network. full makes it refuse to send gifts.
+// fleet is an Exchange of Banks without a network. full makes it refuse to send grants.
 type fleet struct {
 	self  cardamompass.VMID
-	banks map[cardamompass.VMID]*tokens.Bank
+	banks map[cardamompass.VMID]*tokens.Limiter
 	sent  *int
 	full  *bool
 }
@@ -48,18 +48,18 @@
 	return true
 }
 
-func (flt fleet) SendGifts(to cardamompass.VMID, gfs quota.Gifts) (ok bool) {
-	gfs.From = flt.self
-	flt.banks[to].HandleGifts(gfs)
+func (flt fleet) SendGrants(to cardamompass.VMID, grs quota.Grants) (ok bool) {
+	grs.From = flt.self
+	flt.banks[to].HandleGrants(grs)
 	return true
 }
 
-func (flt fleet) MaySendGifts(cardamompass.VMID, int) (ok bool) { return !*flt.full }
+func (flt fleet) MaySendGrants(cardamompass.VMID, int) (ok bool) { return !*flt.full }
 
-// newFleet returns three connected Banks, the number of asks sent and a switch for gifts.
+// newFleet returns three connected Banks, the number of asks sent and a switch for grants.
 func newFleet(clk *clock, log *zap.Logger) (flt fleet) {
 	flt = fleet{
-		banks: make(map[cardamompass.VMID]*tokens.Bank),
+		banks: make(map[cardamompass.VMID]*tokens.Limiter),
 		sent:  new(int),
 		full:  new(bool),
 	}
@@ -74,7 +74,7 @@
 	}
 	for num, vmc := range vms {
 		others := append(append([]cardamompass.VM(nil), vms[:num]...), vms[num+1:]...)
-		bnk := tokens.New(tokens.Config{
+		lim := tokens.New(tokens.Config{
 			Self:        vmc,
 			Regions:     map[cardamompass.FailureDomain]cardamompass.Region{"d": "r"},
 			OtherVMs:    func() []cardamompass.VM { return append([]cardamompass.VM(nil), others...) },
@@ -86,8 +86,8 @@
 		})
 		peers := flt
 		peers.self = vmc.ID
-		bnk.Connect(peers)
-		flt.banks[vmc.ID] = bnk
+		lim.Connect(peers)
+		flt.banks[vmc.ID] = lim
 	}
 	return flt
 }
@@ -100,8 +100,8 @@
 	for _, tea := range teams {
 		tbl.Teams[tea.Name] = tea
 	}
-	for _, bnk := range flt.banks {
-		bnk.SetTable(tbl)
+	for _, lim := range flt.banks {
+		lim.SetTable(tbl)
 	}
 }
 
@@ -109,8 +109,8 @@
 func (flt fleet) run(clk *clock, ticks, takes int) (taken int) {
 	for range ticks {
 		clk.advance(tokens.TickInterval)
-		for _, bnk := range flt.banks {
-			bnk.Tick()
+		for _, lim := range flt.banks {
+			lim.Tick()
 		}
 		for range takes {
 			if ok, _ := flt.banks["a"].Take("t"); ok {
@@ -227,7 +227,7 @@
 			begin := clk.Now()
 			other := []cardamompass.VM{{ID: "b", Region: "r", FailureDomain: "d"}}
 			outage := time.Duration(0)
-			bnk := tokens.New(tokens.Config{
+			lim := tokens.New(tokens.Config{
 				Self:        cardamompass.VM{ID: "a", Region: "r", FailureDomain: "d"},
 				Regions:     map[cardamompass.FailureDomain]cardamompass.Region{"d": "r"},
 				OtherVMs:    func() []cardamompass.VM { return append([]cardamompass.VM(nil), other...) },
@@ -237,17 +237,17 @@
 				Log:         zap.NewNop(),
 				Scope:       tally.NoopScope,
 			})
-			bnk.SetTable(&cardamompass.RoutingTable{
+			lim.SetTable(&cardamompass.RoutingTable{
 				Version: 1,
 				Teams:   map[cardamompass.TeamName]*cardamompass.Team{"t": {Name: "t", Rate: 100}},
 			})
 			flt := fleet{
-				banks: map[cardamompass.VMID]*tokens.Bank{"a": bnk},
+				banks: map[cardamompass.VMID]*tokens.Limiter{"a": lim},
 			}
 			flt.run(clk, 400, 0)
 			other, outage = nil, tst.outage
 			flt.run(clk, 600, 0)
-			if shr := bnk.Dump().Share; shr != tst.want {
+			if shr := lim.Dump().Share; shr != tst.want {
 				t.Errorf("share %v a minute after the other VM vanished, want %v", shr, tst.want)
 			}
 		})
--- a/internal/fleet/cast/cast.go
+++ b/internal/fleet/cast/cast.go
@@ -6,7 +6,7 @@
 // in which only the entry VMs reach the port. The content of load reports improves or worsens the choice of a target, and never decides
 // whether a request may run.
 //
-// Datagrams of another kind carry asks for tokens of the quotas of teams, and gifts of tokens; see package quota.
+// Datagrams of another kind carry asks for tokens of the quotas of teams, and grants of tokens; see package quota.
 package cast
 
 import (
@@ -36,7 +36,7 @@
 	peerTimeout = 2 * time.Second
 	// maxRecipients bounds the number of VMs that a datagram is sent to, so that the traffic of a VM does not grow with the fleet.
 	maxRecipients = 12
-	// maxBytesPerSecond bounds what a VM sends, including asks and gifts; larger datagrams are sent to fewer VMs. At the fleet size that the system is designed
+	// maxBytesPerSecond bounds what a VM sends, including asks and grants; larger datagrams are sent to fewer VMs. At the fleet size that the system is designed
 	// for, 10 KB/s are allowed for control traffic.
 	maxBytesPerSecond = 8 << 10
 	// maxReports bounds the number of reports in a datagram, which must fit into one packet.
@@ -102,11 +102,11 @@
 	OnReports func(reports []Report)
 	// OnDepartures is called with the departures of each datagram that has any. It must not block. Optional.
 	OnDepartures func(departures []Departure)
-	// OnAsks is called with asks of another VM for tokens, OnGifts with gifts of tokens. They must not block. Optional.
-	OnAsks  func(from cardamompass.VMID, asks quota.Asks)
-	OnGifts func(gfs quota.Gifts)
-	Clock   cardamompass.Clock
-	Log     *zap.Logger
+	// OnAsks is called with asks of another VM for tokens, OnGrants with grants of tokens. They must not block. Optional.
+	OnAsks   func(from cardamompass.VMID, asks quota.Asks)
+	OnGrants func(grs quota.Grants)
+	Clock    cardamompass.Clock
+	Log      *zap.Logger
 }
 
 // Exchanger exchanges datagrams with the other VMs. It is safe for concurrent use.
@@ -158,8 +158,8 @@
 	if exc.cfg.OnAsks == nil {
 		exc.cfg.OnAsks = func(cardamompass.VMID, quota.Asks) {}
 	}
-	if exc.cfg.OnGifts == nil {
-		exc.cfg.OnGifts = func(quota.Gifts) {}
+	if exc.cfg.OnGrants == nil {
+		exc.cfg.OnGrants = func(quota.Grants) {}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/internal/fleet/cast/tokens.go
+++ b/internal/fleet/cast/tokens.go
@@ -16,25 +16,25 @@
 )
 
 const (
-	// tokenBytesPerSecond bounds what a VM sends in asks and gifts. Load reports get what these leave of maxBytesPerSecond.
+	// tokenBytesPerSecond bounds what a VM sends in asks and grants. Load reports get what these leave of maxBytesPerSecond.
 	tokenBytesPerSecond = 4 << 10
 	// tokenBytesAtOnce is the most that is sent at one time.
 	tokenBytesAtOnce = tokenBytesPerSecond / 4
 	// tokenFields is the number of fields of a tokenDatagram. It differs from that of a datagram, so that VMs of earlier versions reject
 	// it and go on.
 	tokenFields = 6
-	// wireAskBytes and wireGiftBytes are the lengths of an ask and a gift, wireHeaderBytes is about that of the other fields.
+	// wireAskBytes and wireGrantBytes are the lengths of an ask and a grant, wireHeaderBytes is about that of the other fields.
 	wireAskBytes    = 8
-	wireGiftBytes   = 7
+	wireGrantBytes  = 7
 	wireHeaderBytes = 50
 	// tokenUnits is the number of units of a token in a datagram. Numbers of tokens have 16 bits.
 	tokenUnits = 256
-	// lifeUnit is the unit of the life of a gift, urgentBit the bit of an urgent ask in the same byte.
+	// lifeUnit is the unit of the life of a grant, urgentBit the bit of an urgent ask in the same byte.
 	lifeUnit  = 100 * time.Millisecond
 	urgentBit = 0x80
 )
 
-// tokenDatagram is the wire format of asks and gifts: an array of its fields in this order.
+// tokenDatagram is the wire format of asks and grants: an array of its fields in this order.
 type tokenDatagram struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // an option of the codec
 
@@ -43,10 +43,10 @@
 	Round       uint64
 	Number      uint64
 	Asks        []byte
-	Gifts       []byte
+	Grants      []byte
 }
 
-// tokenMeter counts the bytes of asks and gifts.
+// tokenMeter counts the bytes of asks and grants.
 type tokenMeter struct {
 	budget float64
 	at     time.Time
@@ -72,23 +72,23 @@
 	return exc.sendTokens(to, dgr)
 }
 
-// MaySendGifts reports whether gifts of a number of teams can be sent to a VM now. Tokens are subtracted before they are sent, and lost
+// MaySendGrants reports whether grants of a number of teams can be sent to a VM now. Tokens are subtracted before they are sent, and lost
 // if they are not.
-func (exc *Exchanger) MaySendGifts(to cardamompass.VMID, teams int) (ok bool) {
+func (exc *Exchanger) MaySendGrants(to cardamompass.VMID, teams int) (ok bool) {
 	_, known := exc.peerAddress(to)
 	exc.mu.Lock()
 	defer exc.mu.Unlock()
 	exc.tokens.refill(exc.cfg.Clock.Now())
-	return known && exc.tokens.budget >= float64(wireHeaderBytes+teams*wireGiftBytes)
+	return known && exc.tokens.budget >= float64(wireHeaderBytes+teams*wireGrantBytes)
 }
 
-// SendGifts sends gifts to a VM. It reports false if they were not sent.
-func (exc *Exchanger) SendGifts(to cardamompass.VMID, gfs quota.Gifts) (ok bool) {
+// SendGrants sends grants to a VM. It reports false if they were not sent.
+func (exc *Exchanger) SendGrants(to cardamompass.VMID, grs quota.Grants) (ok bool) {
 	dgr := exc.tokenDatagram()
-	dgr.Round = gfs.Round
-	dgr.Number = gfs.Number
-	for _, gft := range gfs.Gifts {
-		dgr.Gifts = appendGift(dgr.Gifts, gft)
+	dgr.Round = grs.Round
+	dgr.Number = grs.Number
+	for _, grt := range grs.Grants {
+		dgr.Grants = appendGrant(dgr.Grants, grt)
 	}
 	return exc.sendTokens(to, dgr)
 }
@@ -121,7 +121,7 @@
 	return err == nil
 }
 
-// spendTokenBytes takes bytes from the budget of asks and gifts.
+// spendTokenBytes takes bytes from the budget of asks and grants.
 func (exc *Exchanger) spendTokenBytes(count int) (ok bool) {
 	exc.mu.Lock()
 	defer exc.mu.Unlock()
@@ -134,7 +134,7 @@
 	return true
 }
 
-// reportBytes returns the bytes per second that load reports may use now: what asks and gifts have left since the last one.
+// reportBytes returns the bytes per second that load reports may use now: what asks and grants have left since the last one.
 func (exc *Exchanger) reportBytes(now time.Time) (perSecond float64) {
 	exc.mu.Lock()
 	defer exc.mu.Unlock()
@@ -161,14 +161,14 @@
 	return "", false
 }
 
-// handleTokens passes on the asks and gifts of a datagram.
+// handleTokens passes on the asks and grants of a datagram.
 func (exc *Exchanger) handleTokens(data []byte) (err error) {
 	var dgr tokenDatagram
 	if err = msgpack.Unmarshal(data, &dgr); err != nil {
 		return err
 	}
-	if len(dgr.Asks)%wireAskBytes != 0 || len(dgr.Gifts)%wireGiftBytes != 0 {
-		return errors.New("asks or gifts cut short")
+	if len(dgr.Asks)%wireAskBytes != 0 || len(dgr.Grants)%wireGrantBytes != 0 {
+		return errors.New("asks or grants cut short")
 	}
 	if len(dgr.Asks) > 0 {
 		asks := quota.Asks{
@@ -179,17 +179,17 @@
 		}
 		exc.cfg.OnAsks(cardamompass.VMID(dgr.VM), asks)
 	}
-	if len(dgr.Gifts) > 0 {
-		gfs := quota.Gifts{
+	if len(dgr.Grants) > 0 {
+		grs := quota.Grants{
 			From:        cardamompass.VMID(dgr.VM),
 			Incarnation: cardamompass.Incarnation(dgr.Incarnation),
 			Number:      dgr.Number,
 			Round:       dgr.Round,
 		}
-		for rest := dgr.Gifts; len(rest) > 0; rest = rest[wireGiftBytes:] {
-			gfs.Gifts = append(gfs.Gifts, readGift(rest))
+		for rest := dgr.Grants; len(rest) > 0; rest = rest[wireGrantBytes:] {
+			grs.Grants = append(grs.Grants, readGrant(rest))
 		}
-		exc.cfg.OnGifts(gfs)
+		exc.cfg.OnGrants(grs)
 	}
 	return nil
 }
@@ -229,15 +229,15 @@
 	}
 }
 
-// appendGift appends a gift. Parts of units are lost, as tokens must not be added on the way.
-func appendGift(data []byte, gft quota.Gift) (out []byte) {
-	data = binary.BigEndian.AppendUint32(data, uint32(gft.Team))
-	data = binary.BigEndian.AppendUint16(data, units(gft.Tokens))
-	return append(data, byte(min(math.MaxUint8, gft.Life/lifeUnit)))
+// appendGrant appends a grant. Parts of units are lost, as tokens must not be added on the way.
+func appendGrant(data []byte, grt quota.Grant) (out []byte) {
+	data = binary.BigEndian.AppendUint32(data, uint32(grt.Team))
+	data = binary.BigEndian.AppendUint16(data, units(grt.Tokens))
+	return append(data, byte(min(math.MaxUint8, grt.Life/lifeUnit)))
 }
 
-func readGift(data []byte) (gft quota.Gift) {
-	return quota.Gift{
+func readGrant(data []byte) (grt quota.Grant) {
+	return quota.Grant{
 		Team:   quota.TeamID(binary.BigEndian.Uint32(data)),
 		Tokens: float64(binary.BigEndian.Uint16(data[4:])) / tokenUnits,
 		Life:   time.Duration(data[6]) * lifeUnit,
--- a/internal/fleet/cast/tokens_test.go
+++ b/internal/fleet/cast/tokens_test.go
@@ -16,21 +16,21 @@
 	"cardamompass/internal/steer/quota"
 )
 
-// tokenNode is a VM of a test and the asks and gifts that it received.
+// tokenNode is a VM of a test and the asks and grants that it received.
 type tokenNode struct {
 	*cast.Exchanger
 	self cardamompass.VM
 
-	mu    sync.Mutex
-	from  []cardamompass.VMID
-	asks  []quota.Asks
-	gifts []quota.Gifts
+	mu     sync.Mutex
+	from   []cardamompass.VMID
+	asks   []quota.Asks
+	grants []quota.Grants
 }
 
-func (nod *tokenNode) received() (from []cardamompass.VMID, asks []quota.Asks, gifts []quota.Gifts) {
+func (nod *tokenNode) received() (from []cardamompass.VMID, asks []quota.Asks, grants []quota.Grants) {
 	nod.mu.Lock()
 	defer nod.mu.Unlock()
-	return slices.Clone(nod.from), slices.Clone(nod.asks), slices.Clone(nod.gifts)
+	return slices.Clone(nod.from), slices.Clone(nod.asks), slices.Clone(nod.grants)
 }
 
 // newTokenNodes returns two VMs.
@@ -56,10 +56,10 @@
 				defer nod.mu.Unlock()
 				nod.from, nod.asks = append(nod.from, from), append(nod.asks, asks)
 			},
-			OnGifts: func(gfs quota.Gifts) {
+			OnGrants: func(grs quota.Grants) {
 				nod.mu.Lock()
 				defer nod.mu.Unlock()
-				nod.gifts = append(nod.gifts, gfs)
+				nod.grants = append(nod.grants, grs)
 			},
 			Clock: cardamompass.SystemClock{},
 			Log:   zap.NewNop(),
@@ -74,32 +74,32 @@
 	return nodes
 }
 
-// Guards against asks and gifts that arrive changed: more tokens than were subtracted, or a longer life, would break the quota.
-func TestAsksAndGiftsReachAVM(t *testing.T) {
+// Guards against asks and grants that arrive changed: more tokens than were subtracted, or a longer life, would break the quota.
+func TestAsksAndGrantsReachAVM(t *testing.T) {
 	nodes := newTokenNodes(t)
 	ask := quota.Ask{Team: quota.IDOf("team"), Want: 12.5, Have: 0.25, Urgent: true, Life: 700 * time.Millisecond}
-	gft := quota.Gift{Team: quota.IDOf("team"), Tokens: 3.9999, Life: 690 * time.Millisecond}
+	grt := quota.Grant{Team: quota.IDOf("team"), Tokens: 3.9999, Life: 690 * time.Millisecond}
 	waitFor(t, "asks", func() bool {
 		nodes[0].SendAsks("vm-2", quota.Asks{Round: 77, Asks: []quota.Ask{ask}})
 		_, asks, _ := nodes[1].received()
 		return len(asks) > 0
 	})
-	waitFor(t, "gifts", func() bool {
-		nodes[1].SendGifts("vm-1", quota.Gifts{Round: 77, Number: 5, Gifts: []quota.Gift{gft}})
-		_, _, gifts := nodes[0].received()
-		return len(gifts) > 0
+	waitFor(t, "grants", func() bool {
+		nodes[1].SendGrants("vm-1", quota.Grants{Round: 77, Number: 5, Grants: []quota.Grant{grt}})
+		_, _, grants := nodes[0].received()
+		return len(grants) > 0
 	})
 	from, asks, _ := nodes[1].received()
 	if got := asks[0]; from[0] != "vm-1" || got.Round != 77 || len(got.Asks) != 1 || got.Asks[0] != ask {
 		t.Fatalf("asks %+v", got)
 	}
-	_, _, gifts := nodes[0].received()
-	got := gifts[0]
-	if got.From != "vm-2" || got.Incarnation != nodes[1].self.Incarnation || got.Round != 77 || got.Number != 5 || len(got.Gifts) != 1 {
-		t.Fatalf("gifts %+v", got)
+	_, _, grants := nodes[0].received()
+	got := grants[0]
+	if got.From != "vm-2" || got.Incarnation != nodes[1].self.Incarnation || got.Round != 77 || got.Number != 5 || len(got.Grants) != 1 {
+		t.Fatalf("grants %+v", got)
 	}
-	if rcv := got.Gifts[0]; rcv.Team != gft.Team || rcv.Tokens > gft.Tokens || rcv.Tokens < gft.Tokens-0.01 || rcv.Life != 600*time.Millisecond {
-		t.Fatalf("gift %+v", rcv)
+	if rcv := got.Grants[0]; rcv.Team != grt.Team || rcv.Tokens > grt.Tokens || rcv.Tokens < grt.Tokens-0.01 || rcv.Life != 600*time.Millisecond {
+		t.Fatalf("grant %+v", rcv)
 	}
 }
 
@@ -132,7 +132,7 @@
 	for time.Since(begin) < length {
 		for range 20 {
 			nodes[0].SendAsks("vm-3", asks)
-			nodes[0].SendGifts("vm-3", quota.Gifts{Round: 1, Gifts: make([]quota.Gift, 20)})
+			nodes[0].SendGrants("vm-3", quota.Grants{Round: 1, Grants: make([]quota.Grant, 20)})
 		}
 		nodes[0].RecordLoad("i-1", cardamompass.Load{Slots: 6, Slowness: 1})
 		if err = lsn.SetReadDeadline(time.Now().Add(10 * time.Millisecond)); err != nil {
@@ -155,10 +155,10 @@
 	}
 	limit := 10_000 * (time.Since(begin).Seconds() + 1)
 	if tokens == 0 || float64(total) > limit {
-		t.Fatalf("%d bytes in %v, of which %d in asks and gifts", total, time.Since(begin), tokens)
+		t.Fatalf("%d bytes in %v, of which %d in asks and grants", total, time.Since(begin), tokens)
 	}
-	if nodes[0].MaySendGifts("vm-3", 200) || nodes[0].MaySendGifts("unknown", 1) {
-		t.Fatal("gifts are promised that can't be sent")
+	if nodes[0].MaySendGrants("vm-3", 200) || nodes[0].MaySendGrants("unknown", 1) {
+		t.Fatal("grants are promised that can't be sent")
 	}
 }
 
--- a/internal/steer/quota/bucket.go
+++ b/internal/steer/quota/bucket.go
@@ -106,10 +106,10 @@
 // bucket holds the tokens that one VM has for one team.
 type bucket struct {
 	lim limits
-	// tokens are those minted here, received those of gifts of other VMs.
+	// tokens are those minted here, received those of grants of other VMs.
 	tokens   float64
 	received lots
-	// given are the gifts to other VMs that may still be used there. They occupy this VM's storage.
+	// given are the grants to other VMs that may still be used there. They occupy this VM's storage.
 	given    lots
 	filledAt time.Time
 	// demand is the rate of all requests, passed that of the requests that got a token.
@@ -124,7 +124,7 @@
 	episode     int64 // refusals since the change
 	// promisedUntil is the time for which callers that were refused have been told to return.
 	promisedUntil time.Time
-	// askAt is the time of the next ask, askPause the pause before it, answered whether a gift arrived since the last ask.
+	// askAt is the time of the next ask, askPause the pause before it, answered whether a grant arrived since the last ask.
 	askAt    time.Time
 	askPause time.Duration
 	answered bool
@@ -158,7 +158,7 @@
 	bkt.tokens = min(bkt.tokens, bkt.space(share))
 }
 
-// space returns the tokens that fit into the VM's storage, of which gifts that may still be used elsewhere occupy a part.
+// space returns the tokens that fit into the VM's storage, of which grants that may still be used elsewhere occupy a part.
 func (bkt *bucket) space(share float64) (tokens float64) {
 	return max(0, bkt.lim.storage*share-bkt.given.sum())
 }
@@ -166,7 +166,7 @@
 // stock returns the tokens that can be used now.
 func (bkt *bucket) stock() (tokens float64) { return bkt.tokens + bkt.received.sum() }
 
-// take takes one token. Gifts are used first, since they expire.
+// take takes one token. Grants are used first, since they expire.
 func (bkt *bucket) take(share float64, now time.Time) (ok bool) {
 	bkt.refill(share, now)
 	bkt.demand.add(1, now)
@@ -191,7 +191,7 @@
 	bkt.counts.Returned++
 }
 
-// receive adds tokens of a gift. Those that fit into the VM's own storage stay there; the others stay in that of the giver, and expire.
+// receive adds tokens of a grant. Those that fit into the VM's own storage stay there; the others stay in that of the giver, and expire.
 func (bkt *bucket) receive(tokens float64, until time.Time, share float64, now time.Time) {
 	bkt.refill(share, now)
 	own := min(tokens, max(0, bkt.space(share)-bkt.tokens))
--- a/internal/steer/quota/ledger.go
+++ b/internal/steer/quota/ledger.go
@@ -1,8 +1,8 @@
 // Package quota limits the requests of teams over all VMs.
 //
 // Each VM has a token bucket for each team and takes a token for each request. It mints tokens at its base share of the team's rate: its
-// weight divided by the sum of the weights of all VMs (see Fleet). Tokens move between VMs only as gifts that answer asks. The giver
-// subtracts a gift before it is sent, and the gift also occupies the giver's storage for as long as the receiver may use it. All tokens
+// weight divided by the sum of the weights of all VMs (see Fleet). Tokens move between VMs only as grants that answer asks. The giver
+// subtracts a grant before it is sent, and the grant also occupies the giver's storage for as long as the receiver may use it. All tokens
 // that are held or in flight therefore never exceed the storage of the team, whatever is lost, delayed or repeated, and in any window at
 // most the tokens minted in it plus the storage are used. docs/design/quota.md has the derivation.
 //
@@ -28,7 +28,7 @@
 	smallRecipients = 2
 	// maxAsks bounds the asks of one call; those that miss most come first.
 	maxAsks = 20
-	// maxAskPause is the longest pause between two asks for a team. The pause doubles while no gifts arrive.
+	// maxAskPause is the longest pause between two asks for a team. The pause doubles while no grants arrive.
 	maxAskPause = 8 * AskInterval
 	// largeAsk is the number of missing tokens from which on each recipient is asked for a part of them only.
 	largeAsk = 4.0
@@ -36,8 +36,8 @@
 	givenFraction = 0.75
 	// askBelow is the fraction of the wanted tokens below which a VM asks for more.
 	askBelow = 0.8
-	// minGift is the smallest gift in tokens.
-	minGift = 0.02
+	// minGrant is the smallest grant in tokens.
+	minGrant = 0.02
 	// forgetTime is how long the bucket of a team without a limit is kept. A team that is removed and added again does not get a full
 	// bucket each time.
 	forgetTime = 30 * time.Second
@@ -83,23 +83,23 @@
 	}
 }
 
-// Gift are tokens of a team.
-type Gift struct {
+// Grant are tokens of a team.
+type Grant struct {
 	Team   TeamID
 	Tokens float64
 	// Life is how long the tokens may be used, counted from the time of the round of asks.
 	Life time.Duration
 }
 
-// Gifts are the gifts of one VM that answer one round of asks.
-type Gifts struct {
+// Grants are the grants of one VM that answer one round of asks.
+type Grants struct {
 	From        cardamompass.VMID
 	Incarnation cardamompass.Incarnation
-	// Number identifies the gifts of this incarnation.
+	// Number identifies the grants of this incarnation.
 	Number uint64
 	// Round is that of the asks.
-	Round uint64
-	Gifts []Gift
+	Round  uint64
+	Grants []Grant
 }
 
 // Counts are numbers of requests, and of tokens that moved.
@@ -131,10 +131,10 @@
 	loaded  bool   // SetTeams was called
 	round   uint64
 	rounds  map[uint64]time.Time
-	applied map[giftKey]time.Time
+	applied map[grantKey]time.Time
 }
 
-type giftKey struct {
+type grantKey struct {
 	from        cardamompass.VMID
 	incarnation cardamompass.Incarnation
 	number      uint64
@@ -149,7 +149,7 @@
 		removed: make(map[cardamompass.TeamName]*bucket),
 		round:   uint64(cfg.Incarnation),
 		rounds:  make(map[uint64]time.Time),
-		applied: make(map[giftKey]time.Time),
+		applied: make(map[grantKey]time.Time),
 	}
 }
 
@@ -204,7 +204,7 @@
 	ldg.teams[name] = bkt
 }
 
-// index indexes the buckets by the ids of their teams. Teams whose ids are equal get no gifts.
+// index indexes the buckets by the ids of their teams. Teams whose ids are equal get no grants.
 func (ldg *Ledger) index() {
 	clear(ldg.byID)
 	seen := make(map[TeamID]bool, len(ldg.teams))
@@ -284,7 +284,7 @@
 // Asks returns the asks for the teams that are short of tokens, to be sent to Recipients other VMs. It is called every AskInterval.
 func (ldg *Ledger) Asks(now time.Time) (out Asks) {
 	maps.DeleteFunc(ldg.rounds, func(_ uint64, sent time.Time) bool { return now.Sub(sent) > maxLife })
-	maps.DeleteFunc(ldg.applied, func(_ giftKey, at time.Time) bool { return now.Sub(at) > maxLife })
+	maps.DeleteFunc(ldg.applied, func(_ grantKey, at time.Time) bool { return now.Sub(at) > maxLife })
 	short := ldg.shortTeams(now)
 	if len(short) == 0 {
 		return Asks{}
@@ -317,7 +317,7 @@
 		}
 		bkt.refill(ldg.share, now)
 		want, stock := bkt.wanted(now), bkt.stock()
-		if missing := want - stock; stock < max(fullToken, want*askBelow) && missing > minGift {
+		if missing := want - stock; stock < max(fullToken, want*askBelow) && missing > minGrant {
 			short = append(short, shortTeam{
 				id:      id,
 				bkt:     bkt,
@@ -342,50 +342,50 @@
 }
 
 // Give answers an ask of another VM with a part of the tokens that this VM does not need. The tokens are subtracted at once.
-func (ldg *Ledger) Give(ask Ask, now time.Time) (gft Gift, ok bool) {
+func (ldg *Ledger) Give(ask Ask, now time.Time) (grt Grant, ok bool) {
 	ldg.dropIfFrozen(now)
 	bkt := ldg.byID[ask.Team]
 	if bkt == nil || !(ask.Want > 0) {
-		return Gift{}, false
+		return Grant{}, false
 	}
 	bkt.refill(ldg.share, now)
 	tokens := min(bkt.surplus(ask, now), ask.Want)
-	if tokens < minGift {
-		return Gift{}, false
+	if tokens < minGrant {
+		return Grant{}, false
 	}
 	bkt.tokens -= tokens
 	life := min(max(ask.Life, minLife), maxLife)
 	bkt.given.add(now.Add(life), tokens)
 	bkt.counts.Given += tokens
-	return Gift{
+	return Grant{
 		Team:   ask.Team,
 		Tokens: tokens,
 		Life:   life,
 	}, true
 }
 
-// Receive adds gifts. Gifts that were added before, that answer no recent asks of this process or that have expired have no effect.
-func (ldg *Ledger) Receive(gfs Gifts, now time.Time) (ok bool) {
+// Receive adds grants. Grants that were added before, that answer no recent asks of this process or that have expired have no effect.
+func (ldg *Ledger) Receive(grs Grants, now time.Time) (ok bool) {
 	ldg.dropIfFrozen(now)
-	asked, known := ldg.rounds[gfs.Round]
-	key := giftKey{
-		from:        gfs.From,
-		incarnation: gfs.Incarnation,
-		number:      gfs.Number,
+	asked, known := ldg.rounds[grs.Round]
+	key := grantKey{
+		from:        grs.From,
+		incarnation: grs.Incarnation,
+		number:      grs.Number,
 	}
 	if _, again := ldg.applied[key]; again || !known {
 		return false
 	}
 	ldg.applied[key] = now
-	for _, gft := range gfs.Gifts {
-		until := asked.Add(min(gft.Life, maxLife))
-		bkt := ldg.byID[gft.Team]
-		if bkt == nil || !(gft.Tokens > 0) || !now.Before(until) {
+	for _, grt := range grs.Grants {
+		until := asked.Add(min(grt.Life, maxLife))
+		bkt := ldg.byID[grt.Team]
+		if bkt == nil || !(grt.Tokens > 0) || !now.Before(until) {
 			continue
 		}
-		bkt.receive(min(gft.Tokens, bkt.lim.storage), until, ldg.share, now)
+		bkt.receive(min(grt.Tokens, bkt.lim.storage), until, ldg.share, now)
 		bkt.answered = true
-		bkt.counts.Received += gft.Tokens
+		bkt.counts.Received += grt.Tokens
 	}
 	return true
 }
--- a/internal/steer/quota/ledger_test.go
+++ b/internal/steer/quota/ledger_test.go
@@ -43,7 +43,7 @@
 }
 
 // Guards against tokens that are added on their way: twice, after their life, or in a process that did not ask.
-func TestGiftsAreAppliedOnceAndInTime(t *testing.T) {
+func TestGrantsAreAppliedOnceAndInTime(t *testing.T) {
 	giver, now := newLedger(team("t", 100, 100))
 	asker, _ := newLedger(team("t", 100, 100))
 	takeAll(asker, now)
@@ -52,32 +52,32 @@
 		t.Fatalf("asks %+v", asks)
 	}
 	before := tokensOf(giver, now)
-	gft, ok := giver.Give(asks.Asks[0], now)
-	if left := tokensOf(giver, now); !ok || math.Abs(before-left-gft.Tokens) > 1e-9 {
-		t.Fatalf("gift %+v of %v left %v", gft, before, left)
+	grt, ok := giver.Give(asks.Asks[0], now)
+	if left := tokensOf(giver, now); !ok || math.Abs(before-left-grt.Tokens) > 1e-9 {
+		t.Fatalf("grant %+v of %v left %v", grt, before, left)
 	}
-	gfs := quota.Gifts{From: "vm-1", Incarnation: 1, Number: 1, Round: asks.Round, Gifts: []quota.Gift{gft}}
-	foreign := gfs
+	grs := quota.Grants{From: "vm-1", Incarnation: 1, Number: 1, Round: asks.Round, Grants: []quota.Grant{grt}}
+	foreign := grs
 	foreign.Round++
 	if asker.Receive(foreign, now) {
-		t.Fatal("a gift for another round is taken")
+		t.Fatal("a grant for another round is taken")
 	}
 	had := tokensOf(asker, now)
-	if !asker.Receive(gfs, now) || asker.Receive(gfs, now) {
-		t.Fatal("a gift is taken twice or not at all")
+	if !asker.Receive(grs, now) || asker.Receive(grs, now) {
+		t.Fatal("a grant is taken twice or not at all")
 	}
-	if got := tokensOf(asker, now) - had; math.Abs(got-gft.Tokens) > 1e-9 {
-		t.Fatalf("%v tokens of %v", got, gft.Tokens)
+	if got := tokensOf(asker, now) - had; math.Abs(got-grt.Tokens) > 1e-9 {
+		t.Fatalf("%v tokens of %v", got, grt.Tokens)
 	}
-	late := gfs
-	late.Number, late.Gifts = 2, []quota.Gift{{Team: gft.Team, Tokens: 5, Life: 600 * time.Millisecond}}
+	late := grs
+	late.Number, late.Grants = 2, []quota.Grant{{Team: grt.Team, Tokens: 5, Life: 600 * time.Millisecond}}
 	now = now.Add(600 * time.Millisecond)
 	had = tokensOf(asker, now)
 	asker.Receive(late, now)
 	if got := tokensOf(asker, now); got > had {
 		t.Fatalf("tokens after their life: %v, before %v", got, had)
 	}
-	// The giver can't fill the place of a gift before its life ends.
+	// The giver can't fill the place of a grant before its life ends.
 	if dmp := giver.Dump(now.Add(-time.Millisecond)).Teams[0]; dmp.Tokens+dmp.Given > dmp.Storage+1e-9 {
 		t.Fatalf("giver %+v", dmp)
 	}
--- a/internal/steer/quota/limits.go
+++ b/internal/steer/quota/limits.go
@@ -22,10 +22,10 @@
 	minStorageTime = 1200 * time.Millisecond
 	// storageFraction is the fraction of the computed storage that is used. The rest is for clocks that differ in speed.
 	storageFraction = 0.9
-	// minLife and maxLife bound the life of a gift. Within it, a gift must cross the network and be used.
+	// minLife and maxLife bound the life of a grant. Within it, a grant must cross the network and be used.
 	minLife = 600 * time.Millisecond
 	maxLife = 3 * time.Second
-	// lifeFactor is the life of a gift as a multiple of the time in which the receiver uses as many tokens as it wants to have. Longer
+	// lifeFactor is the life of a grant as a multiple of the time in which the receiver uses as many tokens as it wants to have. Longer
 	// lives occupy the storage of the givers, shorter ones waste tokens.
 	lifeFactor = 1.5
 )
--- a/internal/steer/quota/sim_test.go
+++ b/internal/steer/quota/sim_test.go
@@ -35,12 +35,12 @@
 	returned  bool
 	heard     map[cardamompass.VMID]time.Duration
 	nextTick  time.Duration
-	nextGift  uint64
+	nextGrant uint64
 	startedAt time.Duration
-	budget    float64 // bytes of asks and gifts that may be sent now
+	budget    float64 // bytes of asks and grants that may be sent now
 }
 
-// bytesPerSecond is the budget of asks and gifts.
+// bytesPerSecond is the budget of asks and grants.
 const bytesPerSecond = 4096
 
 // spend takes the bytes of a datagram from the VM's budget.
@@ -58,7 +58,7 @@
 type packet struct {
 	from, to *simVM
 	asks     *quota.Asks
-	gifts    *quota.Gifts
+	grants   *quota.Grants
 }
 
 // returning is a caller that was told to return.
@@ -89,7 +89,7 @@
 	failed   map[cardamompass.TeamName]int // by the second answer
 	returns  map[time.Duration][]returning
 	unsent   int
-	sentLen  int // bytes of asks and gifts, estimated
+	sentLen  int // bytes of asks and grants, estimated
 }
 
 func newSim(seed uint64, count int, teams ...*cardamompass.Team) (sml *sim) {
@@ -177,26 +177,26 @@
 	case pkt.to.down:
 	case sml.now < pkt.to.frozenUntil: // waits in the socket
 		sml.packets[pkt.to.frozenUntil] = append(sml.packets[pkt.to.frozenUntil], pkt)
-	case pkt.gifts != nil:
-		pkt.to.ledger.Receive(*pkt.gifts, sml.clock())
+	case pkt.grants != nil:
+		pkt.to.ledger.Receive(*pkt.grants, sml.clock())
 	default:
 		if !pkt.to.spend(sml, 45+7*len(pkt.asks.Asks)/2) {
 			return
 		}
-		pkt.to.nextGift++
-		gfs := quota.Gifts{
+		pkt.to.nextGrant++
+		grs := quota.Grants{
 			From:        pkt.to.id,
 			Incarnation: pkt.to.incarnation,
-			Number:      pkt.to.nextGift,
+			Number:      pkt.to.nextGrant,
 			Round:       pkt.asks.Round,
 		}
 		for _, ask := range pkt.asks.Asks {
-			if gft, ok := pkt.to.ledger.Give(ask, sml.clock()); ok {
-				gfs.Gifts = append(gfs.Gifts, gft)
+			if grt, ok := pkt.to.ledger.Give(ask, sml.clock()); ok {
+				grs.Grants = append(grs.Grants, grt)
 			}
 		}
-		if len(gfs.Gifts) > 0 {
-			sml.send(packet{from: pkt.to, to: pkt.from, gifts: &gfs})
+		if len(grs.Grants) > 0 {
+			sml.send(packet{from: pkt.to, to: pkt.from, grants: &grs})
 		}
 	}
 }
