--- a/internal/fleet/cast/cast.go
+++ b/internal/fleet/cast/cast.go
@@ -36,8 +36,8 @@
 	peerTimeout = 2 * time.Second
 	// maxRecipients bounds the number of VMs that a datagram is sent to, so that the traffic of a VM does not grow with the fleet.
 	maxRecipients = 12
-	// maxBytesPerSecond bounds what a VM sends, including asks and grants; larger datagrams are sent to fewer VMs. At the fleet size that the system is designed
-	// for, 10 KB/s are allowed for control traffic.
+	// maxBytesPerSecond bounds what a VM sends, including asks and grants; larger datagrams are sent to fewer VMs. At the fleet size that the
+	// system is designed for, 10 KB/s are allowed for control traffic.
 	maxBytesPerSecond = 8 << 10
 	// maxReports bounds the number of reports in a datagram, which must fit into one packet.
 	maxReports = 30
