audit: findings in the words of the project

Cause: the package is outside platform/ and named the platform's fields (tenants, apiKeys, ratePerS). Change: teams, keys and kebab-case fields with their units in findings and differences; the document that is checked keeps the platform's names. Ruled out: a table of the platform's names passed in, which operators would see beside the logs' words. Measured: the tests of audit and entryvm pass with the same cases.

--- a/cmd/entryvm/checkconfig_test.go
+++ b/cmd/entryvm/checkconfig_test.go
@@ -57,8 +57,8 @@
 		want   string
 	}{
 		{args: []string{clean}, want: "no findings"},
-		{args: []string{clean, "--in-force", cur}, want: `changed: tenant "one": apiKeys 2 added, 1 removed`},
-		{args: []string{stale}, status: 1, want: `finding: tenant "two": tenant-without-key: `},
+		{args: []string{clean, "--in-force", cur}, want: `changed: team "one": keys 2 added, 1 removed`},
+		{args: []string{stale}, status: 1, want: `finding: team "two": team-without-key: `},
 		{args: []string{stale, "--in-force", cur}, status: 1, want: "finding: version: version-not-newer: 5 is not greater than 5"},
 		{args: []string{twice}, status: 1, want: `tenants[1] "two": rejected: key 1 of tenant "two" is the same as key 1 of tenant "one"; remove`},
 		{args: []string{twice, "--in-force", cur}, status: 1, want: "rejected"},
--- a/internal/conf/audit/audit.go
+++ b/internal/conf/audit/audit.go
@@ -21,7 +21,7 @@
 	CodeUnknownService   = "unknown-service"
 	CodeShortTimeout     = "timeout-below-objective"
 	CodeNoCommonRegion   = "no-common-region"
-	CodeNoKey            = "tenant-without-key"
+	CodeNoKey            = "team-without-key"
 	CodeBurstWithoutRate = "burst-without-rate"
 	CodeSmallBurst       = "burst-below-one"
 )
@@ -80,12 +80,12 @@
 		}
 	}
 	if rte.Timeout > 0 && rte.Timeout < rte.LatencyObjective {
-		add(CodeShortTimeout, "raise timeoutS or lower targetLatencyS",
-			"timeoutS %s is below targetLatencyS %s", seconds(rte.Timeout), seconds(rte.LatencyObjective))
+		add(CodeShortTimeout, "raise timeout-s or lower latency-objective-s",
+			"timeout-s %s is below latency-objective-s %s", seconds(rte.Timeout), seconds(rte.LatencyObjective))
 	}
 	if tbl.HasTeams() && !rte.Public && !anyTeam(tbl, rte) {
-		add(CodeNoCommonRegion, "add a home region of a tenant to the route, or the reverse",
-			"homeRegions %q has no region in common with any tenant, so every request gets 403", rte.HomeRegions)
+		add(CodeNoCommonRegion, "add a home region of a team to the route, or the reverse",
+			"home-regions %q has no region in common with any team, so every request gets 403", rte.HomeRegions)
 	}
 	return list
 }
@@ -121,17 +121,17 @@
 	add := func(code, problem, remedy string) {
 		list = append(list, Finding{
 			Code:    code,
-			Place:   fmt.Sprintf("tenant %q", tea.Name),
+			Place:   fmt.Sprintf("team %q", tea.Name),
 			Problem: problem,
 			Remedy:  remedy,
 		})
 	}
 	if tbl.KeysNotIn(nil, tea.Name) == 0 {
-		add(CodeNoKey, "the tenant has no key, or only an empty one, so no request belongs to it", "add a key, or remove the tenant")
+		add(CodeNoKey, "the team has no key, or only an empty one, so no request belongs to it", "add a key, or remove the team")
 	}
 	if tea.Rate == 0 && tea.Burst > 0 {
-		add(CodeBurstWithoutRate, fmt.Sprintf("ratePerS is 0 with burst %v: the tenant is limited to little more than its burst in each quota "+
-			"window, not unlimited", tea.Burst), "set ratePerS, or remove burst for no limit")
+		add(CodeBurstWithoutRate, fmt.Sprintf("rate-per-s is 0 with burst %v: the team is limited to little more than its burst in each quota "+
+			"window, not unlimited", tea.Burst), "set rate-per-s, or remove burst for no limit")
 	}
 	if tea.Burst > 0 && tea.Burst < 1 {
 		add(CodeSmallBurst, fmt.Sprintf("burst %v is less than one request", tea.Burst), "use a burst of at least 1, or 0 for none")
--- a/internal/conf/audit/audit_test.go
+++ b/internal/conf/audit/audit_test.go
@@ -66,12 +66,12 @@
 				{"name":"c","host":"h","prefix":"/c/","service":"s","homeRegions":["delta"],"public":true}`,
 			want: []string{`no-common-region routes[0] "b"`},
 		},
-		"no key":    {tenants: cleanTenant + `,{"name":"two","apiKeys":[]}`, want: []string{`tenant-without-key tenant "two"`}},
-		"empty key": {tenants: cleanTenant + `,{"name":"two","apiKeys":[""]}`, want: []string{`tenant-without-key tenant "two"`}},
-		"no rate":   {tenants: `{"name":"one","apiKeys":["SECRET-1"],"burst":5}`, want: []string{`burst-without-rate tenant "one"`}},
+		"no key":    {tenants: cleanTenant + `,{"name":"two","apiKeys":[]}`, want: []string{`team-without-key team "two"`}},
+		"empty key": {tenants: cleanTenant + `,{"name":"two","apiKeys":[""]}`, want: []string{`team-without-key team "two"`}},
+		"no rate":   {tenants: `{"name":"one","apiKeys":["SECRET-1"],"burst":5}`, want: []string{`burst-without-rate team "one"`}},
 		"burst": {
 			tenants: `{"name":"one","apiKeys":["SECRET-1"],"ratePerS":1,"burst":0.5}`,
-			want:    []string{`burst-below-one tenant "one"`},
+			want:    []string{`burst-below-one team "one"`},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -114,20 +114,20 @@
 	}
 	want := []string{
 		`changed|configuration|version|1|2`,
-		`changed|limits|maxBodyBytes|100|200`,
+		`changed|limits|max-body-bytes|100|200`,
 		`changed|route "" at h/n/|public|false|true`,
 		`changed|route "a" at h/b/|prefix|"/a/"|"/b/"`,
-		`changed|route "a" at h/b/|timeoutS|2|2.5`,
+		`changed|route "a" at h/b/|timeout-s|2|2.5`,
 		`changed|route "a" at h/b/|split|"s": 1|"s": 3, "x": 1`,
-		`changed|route "a" at h/b/|homeRegions|["gulf"]|all`,
+		`changed|route "a" at h/b/|home-regions|["gulf"]|all`,
 		`added|route "new" at h/a/|||`,
 		`removed|route "gone" at h/g/|||`,
-		`added|tenant "come"|||`,
-		`changed|tenant "one"|ratePerS|5|6`,
-		`removed|tenant "left"|||`,
-		`changed|tenant "come"|apiKeys||1 added, 0 removed`,
-		`changed|tenant "moved"|apiKeys||0 added, 1 removed`,
-		`changed|tenant "one"|apiKeys||2 added, 1 removed`,
+		`added|team "come"|||`,
+		`changed|team "one"|rate-per-s|5|6`,
+		`removed|team "left"|||`,
+		`changed|team "come"|keys||1 added, 0 removed`,
+		`changed|team "moved"|keys||0 added, 1 removed`,
+		`changed|team "one"|keys||2 added, 1 removed`,
 	}
 	if !slices.Equal(got, want) {
 		t.Errorf("changes:\n%s\nwant:\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
--- a/internal/conf/audit/compare.go
+++ b/internal/conf/audit/compare.go
@@ -92,8 +92,8 @@
 		if added+removed > 0 {
 			list = append(list, Change{
 				Kind:  Changed,
-				Item:  fmt.Sprintf("tenant %q", name),
-				Field: "apiKeys",
+				Item:  fmt.Sprintf("team %q", name),
+				Field: "keys",
 				New:   fmt.Sprintf("%d added, %d removed", added, removed),
 			})
 		}
@@ -111,10 +111,10 @@
 		id:    "limits",
 		label: "limits",
 		fields: [][2]string{
-			{"maxHeaderBytes", strconv.Itoa(lim.MaxHeaderBytes)},
-			{"maxBodyBytes", strconv.FormatInt(lim.MaxBodyBytes, 10)},
-			{"headerTimeoutS", seconds(lim.HeaderTimeout)},
-			{"idleTimeoutS", seconds(lim.IdleTimeout)},
+			{"max-header-bytes", strconv.Itoa(lim.MaxHeaderBytes)},
+			{"max-body-bytes", strconv.FormatInt(lim.MaxBodyBytes, 10)},
+			{"header-timeout-s", seconds(lim.HeaderTimeout)},
+			{"idle-timeout-s", seconds(lim.IdleTimeout)},
 		},
 	}}
 }
@@ -164,13 +164,13 @@
 				{"host", strconv.Quote(rte.Host)},
 				{"prefix", strconv.Quote(rte.Prefix)},
 				{"kind", kind},
-				{"timeoutS", seconds(rte.Timeout)},
-				{"targetLatencyS", seconds(rte.LatencyObjective)},
+				{"timeout-s", seconds(rte.Timeout)},
+				{"latency-objective-s", seconds(rte.LatencyObjective)},
 				{"priority", strconv.Itoa(rte.Priority)},
 				{"split", split(rte)},
 				{"attempts", strconv.Itoa(rte.MaxTargets)},
 				{"sticky", strconv.FormatBool(rte.Sticky)},
-				{"homeRegions", regions(rte.HomeRegions)},
+				{"home-regions", regions(rte.HomeRegions)},
 				{"public", strconv.FormatBool(rte.Public)},
 			},
 		})
@@ -184,7 +184,7 @@
 		list = append(list, item{
 			id:     string(name),
 			label:  fmt.Sprintf("service %q", name),
-			fields: [][2]string{{"coldStartS", seconds(pol.ColdFor)}, {"coldPerS", number(pol.ColdRate)}},
+			fields: [][2]string{{"cold-start-s", seconds(pol.ColdFor)}, {"cold-rate-per-s", number(pol.ColdRate)}},
 		})
 	}
 	return list
@@ -195,12 +195,12 @@
 		tea := tbl.Teams[name]
 		list = append(list, item{
 			id:    string(name),
-			label: fmt.Sprintf("tenant %q", name),
+			label: fmt.Sprintf("team %q", name),
 			fields: [][2]string{
 				{"priority", strconv.Itoa(tea.Priority)},
-				{"ratePerS", number(tea.Rate)},
+				{"rate-per-s", number(tea.Rate)},
 				{"burst", number(tea.Burst)},
-				{"homeRegions", regions(tea.HomeRegions)},
+				{"home-regions", regions(tea.HomeRegions)},
 			},
 		})
 	}
