pipe: one response at a time decides which caller is cut

Callers saw: a connection that ended without a response although its caller held little, while another one held most of the memory.

Cause: a response that found the memory full chose a caller to cut afterwards. If another response had cut the largest holder in between, or the response's own caller had been cut, the choice fell on the next one, and the memory was free already.

Change: the choice is made under a lock, after the memory was asked for once more.

--- a/internal/edge/pipe/pipe.go
+++ b/internal/edge/pipe/pipe.go
@@ -69,6 +69,8 @@
 	met    metrics
 	gate   *gate
 	memory *buffer.Pool
+	// cutting is held while a caller to cut is chosen; see response.hold.
+	cutting sync.Mutex
 
 	mu      sync.Mutex
 	loops   map[*loop]struct{}
--- a/internal/edge/pipe/response.go
+++ b/internal/edge/pipe/response.go
@@ -145,12 +145,23 @@
 
 // hold reserves memory for a body of size bytes. Without memory, callers that hold more are disconnected; if there is none, held is false.
 func (rsp *response) hold(size int64) (held bool, err error) {
+	if full, err := rsp.reserve(size); err != nil || !full {
+		return err == nil, err
+	}
+	pip := rsp.lop.pip
+	if !pip.memory.Holds(size) {
+		return false, nil
+	}
+	// The memory may have become free since, and this caller may have been cut. Only one response at a time decides whom to cut, on
+	// what is held then: else a second caller would be cut in vain.
+	pip.cutting.Lock()
+	defer pip.cutting.Unlock()
 	for {
 		full, err := rsp.reserve(size)
 		if err != nil || !full {
 			return err == nil, err
 		}
-		if !rsp.lop.pip.memory.Holds(size) || !rsp.lop.pip.cutLargest(rsp.lop.held.Load()+size) {
+		if !pip.cutLargest(rsp.lop.held.Load() + size) {
 			return false, nil
 		}
 	}
