hedge: the test of the tail compares four runs

The check took the variation of one run for an effect. Change: the mean of four runs with different seeds is compared, beside each other. The bounds stay, that of 1% falls from 1.08 to 1.05. The limit and the extra work are checked in each run as before. Ruled out: a wider bound; a longer run, which costs the same and uses one core.

--- a/internal/steer/hedge/tail_test.go
+++ b/internal/steer/hedge/tail_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,34 +15,50 @@
 	return func(time.Duration) float64 { return perSecond }
 }
 
+// tailRuns is the number of runs whose p99 is compared. That of one run varies by 3%, so that a single comparison says little.
+const tailRuns = 4
+
+// runAll plays the model with a limit for several seeds, beside each other.
+func runAll(percent int) (results []modelResult) {
+	results = make([]modelResult, tailRuns)
+	var wtg sync.WaitGroup
+	for num := range results {
+		wtg.Go(func() { results[num] = newModel(uint64(*seed)+uint64(num), percent).run(modelTime, steady(120)) })
+	}
+	wtg.Wait()
+	return results
+}
+
 // Guards against hedges that don't shorten the tail of the latencies, and against more of them than the limit allows. Limits of 1% and 2%
 // can't mend a tail of 3%; they must not make it longer.
 func TestHedgesShortenTheTail(t *testing.T) {
-	none := newModel(uint64(*seed), never).run(modelTime, steady(120))
-	t.Logf("no hedges: %v", none)
+	none := runAll(never)
 	for _, tst := range []struct {
 		percent int
-		most    float64 // p99 relative to that without hedges
+		most    float64 // p99 relative to that without hedges, mean of the runs
 	}{
 		{0, 0.85},
-		{1, 1.08},
+		{1, 1.05},
 		{2, 1.05},
 		{5, 0.9},
 		{10, 0.85},
 	} {
-		res := newModel(uint64(*seed), tst.percent).run(modelTime, steady(120))
-		t.Logf("limit %2d%%: %v", tst.percent, res)
-		if got := res.quantile(0.99).Seconds() / none.quantile(0.99).Seconds(); got > tst.most {
-			t.Errorf("limit %d%%: p99 is %.2f of that without hedges, want at most %.2f; seed %d", tst.percent, got, tst.most, *seed)
-		}
-		if tst.percent == 0 {
-			continue // the rule without a limit
-		}
-		if 100*res.hedges > tst.percent*res.requests {
-			t.Errorf("limit %d%%: %d hedges of %d requests", tst.percent, res.hedges, res.requests)
+		mean := 0.0
+		for num, res := range runAll(tst.percent) {
+			t.Logf("limit %2d%%: %v; no hedges: %v", tst.percent, res, none[num])
+			mean += res.quantile(0.99).Seconds() / none[num].quantile(0.99).Seconds() / tailRuns
+			if tst.percent == 0 {
+				continue // the rule without a limit
+			}
+			if 100*res.hedges > tst.percent*res.requests {
+				t.Errorf("limit %d%%: %d hedges of %d requests", tst.percent, res.hedges, res.requests)
+			}
+			if work := 100 * res.secondTime.Seconds() / res.firstTime.Seconds(); work > float64(tst.percent) {
+				t.Errorf("limit %d%%: the hedges make %.2f%% more work; seed %d", tst.percent, work, *seed)
+			}
 		}
-		if work := 100 * res.secondTime.Seconds() / res.firstTime.Seconds(); work > float64(tst.percent) {
-			t.Errorf("limit %d%%: the hedges make %.2f%% more work; seed %d", tst.percent, work, *seed)
+		if mean > tst.most {
+			t.Errorf("limit %d%%: p99 is %.2f of that without hedges, want at most %.2f; seed %d", tst.percent, mean, tst.most, *seed)
 		}
 	}
 }
