tests: usual names for limiters, invalid teams and healed links

Cause: reading the whole change again showed names that are not those of the field ('banks', 'unsound', 'mend') and two comments that were out of date: the wait of the fuzz test, and the number of slots for which the load limit of hedges was reasoned. Change: names and comments only. Measured: vet, the linter and the tests of the packages pass.

--- a/internal/edge/pipe/equal_test.go
+++ b/internal/edge/pipe/equal_test.go
@@ -28,7 +28,7 @@
 	requests map[string][]string // by the address of the caller
 }
 
-// newRecorder starts a recorder. With a wait of 80 ms, a busy machine may cut off requests.
+// newRecorder starts a recorder. With a wait as short as fuzzWait, a busy machine may cut off requests.
 func newRecorder(tb testing.TB, beside bool, wait time.Duration) (rec *recorder) {
 	tb.Helper()
 	rec = &recorder{
--- a/internal/edge/tokens/tokens_test.go
+++ b/internal/edge/tokens/tokens_test.go
@@ -34,34 +34,34 @@
 	clk.now = clk.now.Add(ela)
 }
 
-// fleet is an Exchange of Banks without a network. full makes it refuse to send grants.
+// fleet is an Exchange of Limiters without a network. full makes it refuse to send grants.
 type fleet struct {
-	self  cardamompass.VMID
-	banks map[cardamompass.VMID]*tokens.Limiter
-	sent  *int
-	full  *bool
+	self     cardamompass.VMID
+	limiters map[cardamompass.VMID]*tokens.Limiter
+	sent     *int
+	full     *bool
 }
 
 func (flt fleet) SendAsks(to cardamompass.VMID, asks quota.Asks) (ok bool) {
 	*flt.sent++
-	flt.banks[to].HandleAsks(flt.self, asks)
+	flt.limiters[to].HandleAsks(flt.self, asks)
 	return true
 }
 
 func (flt fleet) SendGrants(to cardamompass.VMID, grs quota.Grants) (ok bool) {
 	grs.From = flt.self
-	flt.banks[to].HandleGrants(grs)
+	flt.limiters[to].HandleGrants(grs)
 	return true
 }
 
 func (flt fleet) MaySendGrants(cardamompass.VMID, int) (ok bool) { return !*flt.full }
 
-// newFleet returns three connected Banks, the number of asks sent and a switch for grants.
+// newFleet returns three connected Limiters, the number of asks sent and a switch for grants.
 func newFleet(clk *clock, log *zap.Logger) (flt fleet) {
 	flt = fleet{
-		banks: make(map[cardamompass.VMID]*tokens.Limiter),
-		sent:  new(int),
-		full:  new(bool),
+		limiters: make(map[cardamompass.VMID]*tokens.Limiter),
+		sent:     new(int),
+		full:     new(bool),
 	}
 	var vms []cardamompass.VM
 	for _, id := range []string{"a", "b", "c"} {
@@ -87,7 +87,7 @@
 		peers := flt
 		peers.self = vmc.ID
 		lim.Connect(peers)
-		flt.banks[vmc.ID] = lim
+		flt.limiters[vmc.ID] = lim
 	}
 	return flt
 }
@@ -100,7 +100,7 @@
 	for _, tea := range teams {
 		tbl.Teams[tea.Name] = tea
 	}
-	for _, lim := range flt.banks {
+	for _, lim := range flt.limiters {
 		lim.SetTable(tbl)
 	}
 }
@@ -109,11 +109,11 @@
 func (flt fleet) run(clk *clock, ticks, takes int) (taken int) {
 	for range ticks {
 		clk.advance(tokens.TickInterval)
-		for _, lim := range flt.banks {
+		for _, lim := range flt.limiters {
 			lim.Tick()
 		}
 		for range takes {
-			if ok, _ := flt.banks["a"].Take("t"); ok {
+			if ok, _ := flt.limiters["a"].Take("t"); ok {
 				taken++
 			}
 		}
@@ -148,8 +148,8 @@
 	if taken := flt.run(clk, 100, 100); taken != 100*100 {
 		t.Fatalf("%d of 10000 requests of a team without a limit", taken)
 	}
-	if *flt.sent > 0 || flt.banks["a"].Dump() != nil {
-		t.Fatalf("%d datagrams, dump %+v", *flt.sent, flt.banks["a"].Dump())
+	if *flt.sent > 0 || flt.limiters["a"].Dump() != nil {
+		t.Fatalf("%d datagrams, dump %+v", *flt.sent, flt.limiters["a"].Dump())
 	}
 }
 
@@ -189,7 +189,7 @@
 	flt.setTeams(1, &cardamompass.Team{Name: "t", Rate: 100, Burst: 100})
 	*flt.full = true
 	flt.run(clk, 100, 20)
-	if dmp := flt.banks["b"].Dump(); dmp.Teams[0].Given > 0 {
+	if dmp := flt.limiters["b"].Dump(); dmp.Teams[0].Given > 0 {
 		t.Fatalf("dump %+v", dmp)
 	}
 }
@@ -203,7 +203,7 @@
 	flt.setTeams(1, &cardamompass.Team{Name: "t", Rate: 1, Burst: 1})
 	b.RunParallel(func(pbn *testing.PB) {
 		for pbn.Next() {
-			flt.banks["a"].Take("t")
+			flt.limiters["a"].Take("t")
 		}
 	})
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "refusals/s")
@@ -242,7 +242,7 @@
 				Teams:   map[cardamompass.TeamName]*cardamompass.Team{"t": {Name: "t", Rate: 100}},
 			})
 			flt := fleet{
-				banks: map[cardamompass.VMID]*tokens.Limiter{"a": lim},
+				limiters: map[cardamompass.VMID]*tokens.Limiter{"a": lim},
 			}
 			flt.run(clk, 400, 0)
 			other, outage = nil, tst.outage
--- a/internal/proof/users/teams_test.go
+++ b/internal/proof/users/teams_test.go
@@ -156,8 +156,8 @@
 	}
 }
 
-// Guards against a configuration with unsound teams that comes into force, in whole or in part, and against one that shows its keys.
-func TestUnsoundTeams(t *testing.T) {
+// Guards against a configuration with invalid teams that comes into force, in whole or in part, and against one that shows its keys.
+func TestInvalidTeams(t *testing.T) {
 	tfl := prepareTestFleet(t, 1, 2)
 	tfl.Teams = []pfleet.Team{{Name: "one", Keys: []string{secret + "one"}}}
 	tfl.Configure(1, reads, writes)
--- a/internal/steer/hedge/decide.go
+++ b/internal/steer/hedge/decide.go
@@ -22,9 +22,9 @@
 	minDelayFactor = 1.25
 	// MinTime is the least remaining time with which a request is sent once more.
 	MinTime = 50 * time.Millisecond
-	// busyLoad is the mean load of the targets of a service, relative to their slots, from which no hedges are sent. Above it an arriving
-	// request finds all three slots of a target busy about every other time, so that a hedge delays another request as often as not. In
-	// the model test, 0.5 gives up most of the gain at a load of 0.8, and 0.9 makes the median of all requests 5% longer at a limit of 20%.
+	// busyLoad is the mean load of the targets of a service, relative to their slots, from which no hedges are sent. Above it, with
+	// three slots for each target, an arriving request finds all of them busy about every other time, so that a hedge delays another
+	// request as often as not. In the model test, 0.5 gives up most of the gain at a load of 0.8, and 0.9 makes the median of all requests 5% longer at a limit of 20%.
 	busyLoad = 0.7
 	// refusalTime is how long no hedges are sent to a service after a request for it waited or was refused. A refused caller is told to
 	// return after 100 ms or more, and the capacity that frees up belongs to it.
--- a/internal/steer/hedge/tail_test.go
+++ b/internal/steer/hedge/tail_test.go
@@ -30,7 +30,7 @@
 }
 
 // Guards against hedges that don't shorten the tail of the latencies, and against more of them than the limit allows. Limits of 1% and 2%
-// can't mend a tail of 3%; they must not make it longer.
+// can't remove a tail of 3%; they must not make it longer.
 func TestHedgesShortenTheTail(t *testing.T) {
 	none := runAll(never)
 	for _, tst := range []struct {
--- a/internal/steer/quota/bound_test.go
+++ b/internal/steer/quota/bound_test.go
@@ -27,7 +27,7 @@
 			}
 		}},
 		{"cut-region", func(sml *sim) { sml.isolated = sml.rnd.IntN(3) }},
-		{"mend-region", func(sml *sim) { sml.isolated = -1 }},
+		{"heal-region", func(sml *sim) { sml.isolated = -1 }},
 		{"refuse-some-at-the-store", func(sml *sim) {
 			for _, vmc := range sml.vms {
 				vmc.noStore = sml.rnd.IntN(4) == 0
@@ -47,7 +47,7 @@
 		{"kill-some", func(sml *sim) { sml.kill(3) }},
 		{"kill-all", func(sml *sim) { sml.kill(1) }},
 		// Many VMs that start while others, which they have never seen, are cut off are outside the bound; see docs/design/quota.md.
-		{"mend-and-start-all", func(sml *sim) {
+		{"heal-and-start-all", func(sml *sim) {
 			sml.isolated = -1
 			sml.startDown(len(sml.vms))
 		}},
