review: the reader of case 6 tells a refusal from an answer

Cause: a last reading. A whole answer of the entry VM would have counted as one of the endpoint, and a look-up without an answer would have ended the script with its processes running.

--- a/review/rig/slow.go
+++ b/review/rig/slow.go
@@ -48,6 +48,9 @@
 	defer sit.close()
 	cls := newClients(sit)
 	cls.resolve(ctx)
+	if len(cls.addresses) == 0 {
+		return ver, errors.New("no entry VM answers look-ups")
+	}
 	var mu sync.Mutex
 	var lost []lostRequest
 	whole := 0
@@ -126,7 +129,12 @@
 	}
 	cls.sit.rec.add("client %d sends %s to %s on one connection to %s", num, ids[0], ids[depth-1], node)
 	for pos, id := range ids {
-		if err = readAnswer(rdr, id, slow); err != nil {
+		err = readAnswer(rdr, id, slow)
+		if errors.Is(err, errNotServed) {
+			cls.sit.rec.add("client %d is refused %s", num, id)
+			continue
+		}
+		if err != nil {
 			if time.Since(begin) < readerTimeout {
 				for _, left := range ids[pos:] {
 					lost = append(lost, lostRequest{
@@ -155,7 +163,10 @@
 	return readAnswer(rdr, id, false)
 }
 
-// readAnswer reads the answer to a request.
+// errNotServed reports a whole answer that is not the endpoint's.
+var errNotServed = errors.New("the answer is not the endpoint's")
+
+// readAnswer reads the answer to a request. The error is errNotServed if the answer came, but from the entry VM.
 func readAnswer(rdr *bufio.Reader, id string, slow bool) (err error) {
 	rsp, err := http.ReadResponse(rdr, nil)
 	if err != nil {
@@ -163,7 +174,9 @@
 	}
 	defer rsp.Body.Close() //nolint:errcheck // the body is only read
 	if rsp.StatusCode != http.StatusOK || rsp.Header.Get("Response-Seal") != "seal-"+id {
-		_, err = io.Copy(io.Discard, rsp.Body)
+		if _, err = io.Copy(io.Discard, rsp.Body); err == nil {
+			err = errNotServed
+		}
 		return err
 	}
 	const part = 32 << 10
