send: a response whose status is no HTTP status is malformed

Callers saw: an endpoint that sent status 000 kept its callers waiting until their deadline (504) when it left the connection open. When bytes of a response followed, these were handed on as the answer (200, or what they said). Statuses from 600 to 999 were handed on as answers. Cause: net/http.ReadResponse takes any three characters that are a number of at least 0. The reader took each status below 200 for an interim response and read on, though what follows 000 is its body. Change: strict.CheckResponse rejects statuses outside 100 to 599 (RFC 9110, section 15) before anything else of the response is used. The request counts as one that may have run: it is retried if it is idempotent, and gets 502 at once if not. The connection is closed. Why it works: only 100 to 199 is read as interim, and these have no body.

--- /dev/null
+++ b/internal/edge/send/head_test.go
@@ -0,0 +1,61 @@
+package send_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"cardamompass/internal/edge/send"
+	"cardamompass/internal/stand/ptarg"
+)
+
+const (
+	// ownFields are the fields by which a target marks a response as its own.
+	ownFields = "Request-Id: {id}\r\nResponse-Seal: seal-{id}\r\n"
+	ownBody   = "Content-Length: 5\r\n\r\nhello"
+)
+
+// Guards against handing on a response whose head breaks the grammar of HTTP, against taking the bytes behind such a head for the
+// response, and against believing what it says about the request.
+func TestMalformedHead(t *testing.T) {
+	tests := []struct {
+		name     string
+		text     string
+		keepOpen bool
+	}{
+		{name: "status 000 without a body", text: "HTTP/1.1 000 None\r\n" + ownFields + "Content-Length: 0\r\n\r\n", keepOpen: true},
+		{name: "status 000 with a response behind it", text: "HTTP/1.1 000 None\r\n" + ownFields + "\r\nHTTP/1.1 200 OK\r\n" + ownFields + ownBody},
+		{name: "status 000 that denies the run", text: "HTTP/1.1 000 None\r\n" + ownFields + "Not-Executed: 1\r\n" + ownBody},
+		{name: "status 099", text: "HTTP/1.1 099 Low\r\n" + ownFields + "Content-Length: 0\r\n\r\n", keepOpen: true},
+		{name: "status with a sign", text: "HTTP/1.1 +20 OK\r\n" + ownFields + "Content-Length: 0\r\n\r\n", keepOpen: true},
+		{name: "status -00", text: "HTTP/1.1 -00 OK\r\n" + ownFields + "Content-Length: 0\r\n\r\n", keepOpen: true},
+		{name: "status 600", text: "HTTP/1.1 600 High\r\n" + ownFields + ownBody, keepOpen: true},
+		{name: "status 999", text: "HTTP/1.1 999 High\r\n" + ownFields + ownBody, keepOpen: true},
+		{name: "status of two digits", text: "HTTP/1.1 20 OK\r\n" + ownFields + ownBody},
+		{name: "status that is no number", text: "HTTP/1.1 OK! OK\r\n" + ownFields + ownBody},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			snd := newSender(t)
+			tgt, ins := newTarget(t)
+			tgt.SetRaw(ptarg.RawResponse{
+				Text:     tst.text,
+				KeepOpen: tst.keepOpen,
+			})
+			msg := message("r-1")
+			msg.Deadline = time.Now().Add(2 * time.Second)
+			rep, err := snd.Do(t.Context(), ins, msg)
+			var fai *send.Failure
+			if !errors.As(err, &fai) || fai.Kind != send.KindInvalidResponse || fai.NotRun {
+				t.Fatalf("reply %+v with body %q, error %v", rep, rep.Body, err)
+			}
+			if snd.IdleCount() != 0 {
+				t.Error("the connection is kept")
+			}
+			tgt.SetFault(ptarg.FaultNone)
+			if rep, err = snd.Do(t.Context(), ins, message("r-2")); err != nil || string(rep.Body) != ptarg.Body("r-2") {
+				t.Fatalf("next request: reply %+v, error %v", rep, err)
+			}
+		})
+	}
+}
--- a/internal/edge/send/response.go
+++ b/internal/edge/send/response.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"cardamompass/internal/edge/buffer"
+	"cardamompass/internal/plat/strict"
 )
 
 const (
@@ -36,11 +37,9 @@
 		Method: msg.Method,
 	}
 	for num := range maxUnrelatedResponses {
-		con.limit.left = maxHeadBytes
-		rsp, err := http.ReadResponse(con.rdr, req) //nolint:bodyclose // see readBody
-		con.limit.left = math.MaxInt64              // ReadAll bounds the body
+		rsp, err := con.readHead(ctx, req) //nolint:bodyclose // see readBody
 		if err != nil {
-			return rep, false, readFailure(ctx, err, false)
+			return rep, false, err
 		}
 		if rsp.StatusCode < http.StatusOK {
 			continue
@@ -82,6 +81,20 @@
 	return rep, false, invalidResponse("too many responses to other requests")
 }
 
+// readHead reads the head of a response. The error is a *Failure.
+func (con *conn) readHead(ctx context.Context, req *http.Request) (rsp *http.Response, err error) {
+	con.limit.left = maxHeadBytes
+	rsp, err = http.ReadResponse(con.rdr, req)
+	con.limit.left = math.MaxInt64 // ReadAll bounds the body
+	if err != nil {
+		return nil, readFailure(ctx, err, false)
+	}
+	if err = strict.CheckResponse(rsp); err != nil {
+		return nil, invalidResponse("%v", err)
+	}
+	return rsp, nil
+}
+
 // discard reads the body of a response that is not handed on.
 func (snd *Sender) discard(rsp *http.Response) (err error) {
 	buf := snd.cfg.Bodies.NewBuffer()
--- /dev/null
+++ b/internal/plat/strict/strict.go
@@ -0,0 +1,26 @@
+// Package strict rejects HTTP/1.1 responses whose head breaks the grammar of RFC 9110 and RFC 9112 although net/http accepts it.
+//
+// The sender of such a head is at fault, and what follows the head may not be what net/http takes it for. Nothing that the response
+// states may be believed, and its connection must be closed.
+package strict
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// CheckResponse returns an error if the head of rsp is malformed. net/http accepts every status of three characters that is a number
+// of at least 0, and finds bodies behind those below 100.
+func CheckResponse(rsp *http.Response) (err error) {
+	defer func() { err = errors.Wrap(err, "malformed head of a response") }()
+	if rsp.StatusCode < minStatus || rsp.StatusCode > maxStatus {
+		return errors.Errorf("status %03d is not between %d and %d", rsp.StatusCode, minStatus, maxStatus)
+	}
+	return nil
+}
--- a/internal/stand/ptarg/ptarg.go
+++ b/internal/stand/ptarg/ptarg.go
@@ -70,6 +70,8 @@
 	FaultEndlessTrailer Fault = "endless-trailer"
 	// FaultCrash ends the target when it has run a request, until Restart.
 	FaultCrash Fault = "crash"
+	// FaultRaw runs the request and sends the text of SetRaw.
+	FaultRaw Fault = "raw"
 )
 
 // Config configures a Target.
@@ -102,6 +104,7 @@
 	address string
 	server  *http.Server
 	fault   Fault
+	raw     RawResponse
 	leaving bool
 	// retryAfter is the value of Retry-After in refusals; empty for none.
 	retryAfter string
@@ -362,6 +365,8 @@
 		tgt.writeRaw(wrt, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\nContent-Length: 1\r\n\r\nx", false)
 	case FaultNoResponse:
 		<-req.Context().Done()
+	case FaultRaw:
+		tgt.respondRaw(wrt, id)
 	case FaultLateCopy:
 		tgt.respondTwice(wrt, full)
 	case FaultEndlessLine, FaultEndlessHead, FaultEndlessInterim, FaultEndlessBody, FaultEndlessNoise, FaultEndlessChunks,
