send: a response with a blank in the name of a field is malformed

Callers saw: an answer with status 200 without the line, since the writer to callers leaves such names out; a body with the sizes of its chunks in it ("Transfer-Encoding : chunked"), with what followed its end or nothing until the deadline ("Content-Length : 5"), or an encoded body that did not say so ("Content-Encoding : gzip"). Cause: net/http.ReadResponse accepts blanks in the names of fields. It keeps such a field under the name with the blank, so that it delimits no body, and the checks of a response don't find it either. Change: strict.CheckResponse rejects a response with a field name that is no token (RFC 9110, section 5.1), interim responses and refusals included. What such a head says is not believed: a refusal in it no longer counts as one, and the request as one that may have run. Why it works: all that net/http lets through besides tokens is the blank; control bytes in names were rejected before, as were those in values. Evidence, before: send TestMalformedHead failed in 7 of the 19 new cases, all with a blank in or behind a name; front TestMalformedHead failed in 5 of its 6 new cases: 200 with the wrong body, 504, and 503 for a refusal in place of 502. The other cases, most of them control bytes, were rejected before and keep their tests.

--- a/internal/edge/front/head_test.go
+++ b/internal/edge/front/head_test.go
@@ -21,6 +21,12 @@
 		{name: "status 000 without a body", text: "HTTP/1.1 000 None\r\n" + fields + "Content-Length: 0\r\n\r\n", keepOpen: true},
 		{name: "status 000 with a response behind it", text: "HTTP/1.1 000 None\r\n" + fields + "\r\nHTTP/1.1 200 OK\r\n" + fields + body},
 		{name: "status 600", text: "HTTP/1.1 600 High\r\n" + fields + body},
+		{name: "blank within a name", text: "HTTP/1.1 200 OK\r\n" + fields + "Bad Name: x\r\n" + body},
+		{name: "blank behind Transfer-Encoding", text: "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"},
+		{name: "blank behind Content-Encoding", text: "HTTP/1.1 200 OK\r\n" + fields + "Content-Encoding : gzip\r\n" + body},
+		{name: "blank behind Content-Length", text: "HTTP/1.1 200 OK\r\n" + fields + "Content-Length : 5\r\n\r\nhello", keepOpen: true},
+		{name: "blank in the name of a refusal", text: "HTTP/1.1 503 Full\r\n" + fields + "Not-Executed: 1\r\nBad Name: x\r\n" + body},
+		{name: "control byte in a name", text: "HTTP/1.1 200 OK\r\n" + fields + "Bad\x01Name: x\r\n" + body},
 	}
 	for _, tst := range tests {
 		raw := ptarg.RawResponse{
--- a/internal/edge/send/head_test.go
+++ b/internal/edge/send/head_test.go
@@ -33,6 +33,28 @@
 		{name: "status 999", text: "HTTP/1.1 999 High\r\n" + ownFields + ownBody, keepOpen: true},
 		{name: "status of two digits", text: "HTTP/1.1 20 OK\r\n" + ownFields + ownBody},
 		{name: "status that is no number", text: "HTTP/1.1 OK! OK\r\n" + ownFields + ownBody},
+		{name: "blank within a name", text: "HTTP/1.1 200 OK\r\n" + ownFields + "Bad Name: x\r\n" + ownBody, keepOpen: true},
+		{name: "blank in the name of a refusal", text: "HTTP/1.1 503 Full\r\n" + ownFields + "Not-Executed: 1\r\nBad Name: x\r\n" + ownBody},
+		{name: "blank in the name of an error", text: "HTTP/1.1 500 Error\r\n" + ownFields + "Bad Name: x\r\n" + ownBody},
+		{
+			name: "blank in the name of an interim response",
+			text: "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\n" + ownFields + ownBody,
+		},
+		{name: "blank behind Content-Length", text: "HTTP/1.1 200 OK\r\n" + ownFields + "Content-Length : 5\r\n\r\nhello and more"},
+		{name: "blank behind Transfer-Encoding", text: "HTTP/1.1 200 OK\r\n" + ownFields + "Transfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"},
+		{name: "blank behind Content-Encoding", text: "HTTP/1.1 200 OK\r\n" + ownFields + "Content-Encoding : gzip\r\n" + ownBody},
+		{name: "blank before the first name", text: "HTTP/1.1 200 OK\r\n Bad-Name: x\r\n" + ownFields + ownBody},
+		{name: "NUL in a name", text: "HTTP/1.1 200 OK\r\n" + ownFields + "Bad\x00Name: x\r\n" + ownBody},
+		{name: "control byte in a name", text: "HTTP/1.1 200 OK\r\n" + ownFields + "Bad\x01Name: x\r\n" + ownBody},
+		{name: "control byte before a name", text: "HTTP/1.1 200 OK\r\n" + ownFields + "\x1bBad-Name: x\r\n" + ownBody},
+		{name: "tab in a name", text: "HTTP/1.1 200 OK\r\n" + ownFields + "Bad\tName: x\r\n" + ownBody},
+		{name: "tab behind Content-Length", text: "HTTP/1.1 200 OK\r\n" + ownFields + "Content-Length\t: 5\r\n\r\nhello and more"},
+		{name: "carriage return in a name", text: "HTTP/1.1 200 OK\r\n" + ownFields + "Bad\rName: x\r\n" + ownBody},
+		{name: "DEL in a name", text: "HTTP/1.1 200 OK\r\n" + ownFields + "Bad\x7fName: x\r\n" + ownBody},
+		{name: "empty name", text: "HTTP/1.1 200 OK\r\n" + ownFields + ": x\r\n" + ownBody},
+		{name: "line without a colon", text: "HTTP/1.1 200 OK\r\n" + ownFields + "Bad-Name\r\n" + ownBody},
+		{name: "control byte in a value", text: "HTTP/1.1 200 OK\r\n" + ownFields + "X-A: \x01\r\n" + ownBody},
+		{name: "carriage return in a value", text: "HTTP/1.1 200 OK\r\n" + ownFields + "X-A: 1\rX-B: 2\r\n" + ownBody},
 	}
 	for _, tst := range tests {
 		t.Run(tst.name, func(t *testing.T) {
--- a/internal/plat/strict/strict.go
+++ b/internal/plat/strict/strict.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -16,11 +17,22 @@
 )
 
 // CheckResponse returns an error if the head of rsp is malformed. net/http accepts every status of three characters that is a number
-// of at least 0, and finds bodies behind those below 100.
+// of at least 0, and finds bodies behind those below 100. It also accepts blanks in the names of fields, and ignores such a field when
+// it looks for the end of the body.
 func CheckResponse(rsp *http.Response) (err error) {
 	defer func() { err = errors.Wrap(err, "malformed head of a response") }()
 	if rsp.StatusCode < minStatus || rsp.StatusCode > maxStatus {
 		return errors.Errorf("status %03d is not between %d and %d", rsp.StatusCode, minStatus, maxStatus)
 	}
+	return CheckHeader(rsp.Header)
+}
+
+// CheckHeader returns an error if the name of a field is not a token.
+func CheckHeader(hdr http.Header) (err error) {
+	for name := range hdr {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Errorf("field name %.40q is not a token", name)
+		}
+	}
 	return nil
 }
--- a/internal/plat/strict/strict_test.go
+++ b/internal/plat/strict/strict_test.go
@@ -23,6 +23,11 @@
 		{name: "status below 100", head: "HTTP/1.1 099 Low\r\n"},
 		{name: "status with a sign", head: "HTTP/1.1 +99 Low\r\n"},
 		{name: "status above 599", head: "HTTP/1.1 600 High\r\n"},
+		{name: "all characters of a token", head: "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: x\r\n", valid: true},
+		{name: "blanks around a value", head: "HTTP/1.1 200 OK\r\nX-A: \t x y \t\r\n", valid: true},
+		{name: "empty value", head: "HTTP/1.1 200 OK\r\nX-A:\r\n", valid: true},
+		{name: "blank within a name", head: "HTTP/1.1 200 OK\r\nX A: x\r\n"},
+		{name: "blank behind a name", head: "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n"},
 	}
 	for _, tst := range tests {
 		t.Run(tst.name, func(t *testing.T) {
