send: a response with a blank before the name of a field is malformed

Callers saw: an answer with status 200 in which the line stood at the end of another field's value, or a body with the sizes of its chunks in it (" Transfer-Encoding: chunked"). Cause: net/http.ReadResponse takes a line that begins with a blank or a tab for the rest of the line before (obs-fold), unless it is the first one. A field that was meant to delimit the body is then none, and a response without one ends with its connection. Change: the reader of the connection looks for such lines while a head is read, and the response is rejected. RFC 9112, section 5.2, lets a gateway reject it or join the lines; joined, the body of a target that meant a field is wrong. Why it works: net/http can't tell any more whether lines were joined, but each byte of a head passes the scanner, those that were read with the response before included. Evidence, before: send TestMalformedHead failed in the 4 new cases, front TestMalformedHead in its 2 new cases, for both kinds of requests: 200 with the line in another value, 200 with the body "5\r\nhello\r\n0\r\n\r\n". A blank before the first name was rejected before. TestUnusualHead, which guards against rejecting valid heads, passes before and after.

--- a/internal/edge/front/head_test.go
+++ b/internal/edge/front/head_test.go
@@ -26,6 +26,11 @@
 		{name: "blank behind Content-Encoding", text: "HTTP/1.1 200 OK\r\n" + fields + "Content-Encoding : gzip\r\n" + body},
 		{name: "blank behind Content-Length", text: "HTTP/1.1 200 OK\r\n" + fields + "Content-Length : 5\r\n\r\nhello", keepOpen: true},
 		{name: "blank in the name of a refusal", text: "HTTP/1.1 503 Full\r\n" + fields + "Not-Executed: 1\r\nBad Name: x\r\n" + body},
+		{name: "blank before a later name", text: "HTTP/1.1 200 OK\r\n" + fields + "X-A: 1\r\n Bad-Name: x\r\n" + body},
+		{
+			name: "blank before Transfer-Encoding",
+			text: "HTTP/1.1 200 OK\r\n" + fields + "X-A: 1\r\n Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		},
 		{name: "control byte in a name", text: "HTTP/1.1 200 OK\r\n" + fields + "Bad\x01Name: x\r\n" + body},
 	}
 	for _, tst := range tests {
--- a/internal/edge/send/head_test.go
+++ b/internal/edge/send/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"testing"
 	"time"
 
@@ -44,6 +45,16 @@
 		{name: "blank behind Transfer-Encoding", text: "HTTP/1.1 200 OK\r\n" + ownFields + "Transfer-Encoding : chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"},
 		{name: "blank behind Content-Encoding", text: "HTTP/1.1 200 OK\r\n" + ownFields + "Content-Encoding : gzip\r\n" + ownBody},
 		{name: "blank before the first name", text: "HTTP/1.1 200 OK\r\n Bad-Name: x\r\n" + ownFields + ownBody},
+		{name: "blank before a later name", text: "HTTP/1.1 200 OK\r\n" + ownFields + "X-A: 1\r\n Bad-Name: x\r\n" + ownBody},
+		{name: "tab before a later name", text: "HTTP/1.1 200 OK\r\n" + ownFields + "X-A: 1\r\n\tBad-Name: x\r\n" + ownBody},
+		{
+			name: "blank before Transfer-Encoding",
+			text: "HTTP/1.1 200 OK\r\n" + ownFields + "X-A: 1\r\n Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		},
+		{
+			name: "blank before a name behind an interim response",
+			text: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n" + ownFields + "X-A: 1\r\n Bad-Name: x\r\n" + ownBody,
+		},
 		{name: "NUL in a name", text: "HTTP/1.1 200 OK\r\n" + ownFields + "Bad\x00Name: x\r\n" + ownBody},
 		{name: "control byte in a name", text: "HTTP/1.1 200 OK\r\n" + ownFields + "Bad\x01Name: x\r\n" + ownBody},
 		{name: "control byte before a name", text: "HTTP/1.1 200 OK\r\n" + ownFields + "\x1bBad-Name: x\r\n" + ownBody},
@@ -81,3 +92,36 @@
 		})
 	}
 }
+
+// Guards against rejecting a response that is unusual but valid.
+func TestUnusualHead(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+		body string
+	}{
+		{name: "interim response", text: "HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + ownFields + ownBody, body: "hello"},
+		{name: "no reason", text: "HTTP/1.1 200\r\n" + ownFields + ownBody, body: "hello"},
+		{name: "all characters of a token", text: "HTTP/1.1 200 OK\r\n" + ownFields + "!#$%&'*+-.^_`|~09azAZ: x\r\n" + ownBody, body: "hello"},
+		{name: "empty value", text: "HTTP/1.1 200 OK\r\n" + ownFields + "X-A:\r\n" + ownBody, body: "hello"},
+		{name: "bare line feeds", text: "HTTP/1.1 200 OK\nRequest-Id: {id}\nResponse-Seal: s\nContent-Length: 5\n\nhello", body: "hello"},
+		{
+			name: "lines with blanks in the body",
+			text: "HTTP/1.1 200 OK\r\n" + ownFields + "Content-Length: 14\r\n\r\n hello\r\n hello",
+			body: " hello\r\n hello",
+		},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			snd := newSender(t)
+			tgt, ins := newTarget(t)
+			tgt.SetRaw(ptarg.RawResponse{
+				Text: tst.text,
+			})
+			rep, err := snd.Do(t.Context(), ins, message("r-1"))
+			if err != nil || rep.Status != http.StatusOK || string(rep.Body) != tst.body {
+				t.Errorf("reply %+v with body %q, error %v", rep, rep.Body, err)
+			}
+		})
+	}
+}
--- a/internal/edge/send/response.go
+++ b/internal/edge/send/response.go
@@ -83,7 +83,9 @@
 
 // readHead reads the head of a response. The error is a *Failure.
 func (con *conn) readHead(ctx context.Context, req *http.Request) (rsp *http.Response, err error) {
-	con.limit.left = maxHeadBytes
+	begin, _ := con.rdr.Peek(con.rdr.Buffered()) // can't fail
+	con.limit.left, con.limit.folds = maxHeadBytes, strict.FoldScanner{}
+	con.limit.folds.Scan(begin)
 	rsp, err = http.ReadResponse(con.rdr, req)
 	con.limit.left = math.MaxInt64 // ReadAll bounds the body
 	if err != nil {
@@ -92,6 +94,9 @@
 	if err = strict.CheckResponse(rsp); err != nil {
 		return nil, invalidResponse("%v", err)
 	}
+	if con.limit.folds.Folded() {
+		return nil, invalidResponse("malformed head of a response: a line begins with a blank")
+	}
 	return rsp, nil
 }
 
@@ -164,8 +169,9 @@
 
 // limitedReader returns errHeadTooLong once it has read more than left bytes.
 type limitedReader struct {
-	src  io.Reader
-	left int64
+	src   io.Reader
+	left  int64
+	folds strict.FoldScanner
 }
 
 func (lrd *limitedReader) Read(dst []byte) (num int, err error) {
@@ -177,6 +183,7 @@
 	}
 	num, err = lrd.src.Read(dst)
 	lrd.left -= int64(num)
+	lrd.folds.Scan(dst[:num])
 	return num, err
 }
 
--- /dev/null
+++ b/internal/plat/strict/fold.go
@@ -0,0 +1,33 @@
+package strict
+
+// FoldScanner finds lines in a head that begin with a blank. net/http appends such a line to the value of the line before, so that a
+// field with a blank before its name is no field, and delimits no body. RFC 9112, section 5.2, lets a gateway reject the response.
+//
+// The zero value expects the begin of a head.
+type FoldScanner struct {
+	column int  // of the next byte
+	last   byte // the byte before
+	ended  bool
+	folded bool
+}
+
+// Scan scans the next bytes of a response. Those behind the head are ignored.
+func (scn *FoldScanner) Scan(data []byte) {
+	for _, chr := range data {
+		switch {
+		case scn.ended:
+			return
+		case chr == '\n':
+			scn.ended = scn.column == 0 || (scn.column == 1 && scn.last == '\r')
+			scn.column = 0
+			continue
+		case scn.column == 0 && (chr == ' ' || chr == '\t'):
+			scn.folded = true
+		}
+		scn.column++
+		scn.last = chr
+	}
+}
+
+// Folded reports whether a line of the head begins with a blank or a tab.
+func (scn *FoldScanner) Folded() (ok bool) { return scn.folded }
