relay: a response with a malformed head is rejected

Callers saw (cardamompass serve): an answer without the line whose name held a blank, or with that line at the end of another value; an encoded body that did not say so ("Content-Encoding : gzip"); a status from 600 to 999; a refusal that said that the request had not run, on the word of a malformed response. Cause: http.Transport reads heads with the reader of send, which accepts these. Change: the relay makes the checks of strict on each response, and on the names of informational ones; the outcome is unknown then, and the connection closed. Lines that begin with a blank are found in the bytes of the connection. The reason is now an error of the scanner that both share. Why it works: the check comes before anything else of the response is used, a statement that the target drains included, for short and long responses and for the parts of a resumed one. Limit: behind an informational response, a line that begins with a blank is still joined to the one before, as RFC 9112, section 5.2, allows; a response without a length is rejected in any case.

--- a/internal/edge/relay/conn.go
+++ b/internal/edge/relay/conn.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"cardamompass"
+	"cardamompass/internal/plat/strict"
 )
 
 // errWriteRejected is returned by the writes of an attempt that must not be sent on this connection.
@@ -29,6 +31,7 @@
 	peerErr     error // first error of the connection that was not caused by closing it on this side
 
 	header   headerScanner
+	folds    strict.FoldScanner // of the first header, which is that of an informational response if one comes first
 	received int64
 	interim  bool // informational responses came first, so the header length is unknown
 }
@@ -43,11 +46,11 @@
 				con.bind(ast)
 			}
 		},
-		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+		Got1xxResponse: func(_ int, hdr textproto.MIMEHeader) error {
 			ast.mu.Lock()
 			defer ast.mu.Unlock()
 			ast.interim = true
-			return nil
+			return strict.CheckHeader(http.Header(hdr))
 		},
 	}
 }
@@ -87,6 +90,7 @@
 	defer ast.mu.Unlock()
 	ast.received += int64(len(got))
 	ast.header.scan(got)
+	ast.folds.Scan(got)
 	ast.recordErrorLocked(err)
 }
 
@@ -117,6 +121,13 @@
 	return ast.peerErr != nil
 }
 
+// foldErr returns an error if a line of the header begins with a blank.
+func (ast *attemptState) foldErr() (err error) {
+	ast.mu.Lock()
+	defer ast.mu.Unlock()
+	return ast.folds.Err()
+}
+
 // hasTrailingBytes reports whether bytes arrived after a response whose body has the given length.
 func (ast *attemptState) hasTrailingBytes(bodyBytes int64) bool {
 	ast.mu.Lock()
--- a/internal/edge/relay/response.go
+++ b/internal/edge/relay/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net/http"
 
 	"cardamompass"
+	"cardamompass/internal/plat/strict"
 )
 
 // maxShedBytes bounds the body of a shed response that is read to keep the connection. A target that sheds is busy, and new
@@ -17,14 +19,17 @@
 
 // checkHeader verifies the header of a response. On error it has closed the response body.
 func (rly *Relay) checkHeader(atm Attempt, rsp *http.Response, ast *attemptState) (err error) {
-	if rsp.Header.Get(cardamompass.HeaderState) == "draining" {
-		rly.cfg.Draining(atm.Target.ID)
-	}
 	defer func() {
 		if err != nil {
 			rsp.Body.Close() //nolint:errcheck // the response is dropped
 		}
 	}()
+	if err = cmp.Or(strict.CheckResponse(rsp), ast.foldErr()); err != nil {
+		return ast.rejectResponse(atm.Target.ID, err.Error())
+	}
+	if rsp.Header.Get(cardamompass.HeaderState) == "draining" {
+		rly.cfg.Draining(atm.Target.ID)
+	}
 	echo := rsp.Header[cardamompass.HeaderRequestID]
 	switch {
 	case len(echo) == 0:
--- a/internal/edge/send/response.go
+++ b/internal/edge/send/response.go
@@ -1,6 +1,7 @@
 package send
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math"
@@ -91,12 +92,9 @@
 	if err != nil {
 		return nil, readFailure(ctx, err, false)
 	}
-	if err = strict.CheckResponse(rsp); err != nil {
+	if err = cmp.Or(strict.CheckResponse(rsp), con.limit.folds.Err()); err != nil {
 		return nil, invalidResponse("%v", err)
 	}
-	if con.limit.folds.Folded() {
-		return nil, invalidResponse("malformed head of a response: a line begins with a blank")
-	}
 	return rsp, nil
 }
 
--- a/internal/plat/strict/fold.go
+++ b/internal/plat/strict/fold.go
@@ -1,5 +1,9 @@
 package strict
 
+import "github.com/pkg/errors"
+
+var errFolded = errors.New("malformed head of a response: a line begins with a blank")
+
 // FoldScanner finds lines in a head that begin with a blank. net/http appends such a line to the value of the line before, so that a
 // field with a blank before its name is no field, and delimits no body. RFC 9112, section 5.2, lets a gateway reject the response.
 //
@@ -29,5 +33,10 @@
 	}
 }
 
-// Folded reports whether a line of the head begins with a blank or a tab.
-func (scn *FoldScanner) Folded() (ok bool) { return scn.folded }
+// Err returns an error if a line of the head begins with a blank or a tab.
+func (scn *FoldScanner) Err() (err error) {
+	if scn.folded {
+		return errFolded
+	}
+	return nil
+}
--- a/internal/plat/strict/fold_test.go
+++ b/internal/plat/strict/fold_test.go
@@ -27,8 +27,8 @@
 			for rest := []byte(tst.text); len(rest) > 0; rest = rest[min(size, len(rest)):] {
 				scn.Scan(rest[:min(size, len(rest))])
 			}
-			if scn.Folded() != tst.folded {
-				t.Errorf("%s, in pieces of %d bytes: folded %v", tst.name, size, scn.Folded())
+			if err := scn.Err(); (err != nil) != tst.folded {
+				t.Errorf("%s, in pieces of %d bytes: error %v", tst.name, size, err)
 			}
 		}
 	}
