httpc: a response of a platform service with a malformed head is not believed

Callers saw: nothing by itself; cardamompass serve took such a response of the store or the VM list for theirs. A write counted as done, as refused, as a conflict or as one on a lease that had ended. Change: the head is checked with strict before status and body are used. The outcome of a write is unknown then, so that it is read back. Evidence, before: kvhttp TestMalformedHead failed in 4 of 7 cases (a blank in the name of a field beside status 200, 404, 412 and 429). Status 000 and 600 left the outcome open before, a control byte in a name was rejected; they keep their cases. The VM list uses the same client and has no test of its own.

--- a/internal/plat/httpc/httpc.go
+++ b/internal/plat/httpc/httpc.go
@@ -21,6 +21,7 @@
 
 	"cardamompass"
 	"cardamompass/internal/plat/stall"
+	"cardamompass/internal/plat/strict"
 )
 
 const (
@@ -131,6 +132,10 @@
 		return Reply{}, snt.Load(), err
 	}
 	defer func() { _ = rsp.Body.Close() }()
+	if err = strict.CheckResponse(rsp); err != nil {
+		cli.htc.CloseIdleConnections() // that of a response without a body is idle already
+		return Reply{}, true, err
+	}
 	dat, err := io.ReadAll(io.LimitReader(wdg.Reader(rsp.Body), cli.cfg.MaxResponseBytes+1))
 	if err != nil {
 		return Reply{}, true, err
