health: a probe with a malformed head has failed

Callers saw: requests that were sent to a target in trouble, since its health endpoint counted as serving (cardamompass serve). Cause: the prober reads the state whatever the status is, and http.Transport accepts status 000 and blanks in the names of fields. Change: a probe whose head strict rejects counts as one without a valid response; three of them take the target out of use for a while, as before. Its other statements, a drain included, are not believed either. Evidence, before: TestProbeOfMalformedHead failed in 3 of 5 cases (000, 600, a blank in a name), in which the target was used after five probes. Limit: lines that begin with a blank are joined; the prober uses no header, and the body must be valid JSON.

--- a/internal/steer/health/probe.go
+++ b/internal/steer/health/probe.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"cardamompass"
+	"cardamompass/internal/plat/strict"
 )
 
 const (
@@ -201,6 +202,9 @@
 		return err
 	}
 	defer func() { _ = rsp.Body.Close() }()
+	if err = strict.CheckResponse(rsp); err != nil {
+		return err
+	}
 	body, err := io.ReadAll(io.LimitReader(rsp.Body, maxProbeBytes))
 	if err != nil {
 		return err
