--- a/internal/stand/pfleet/caller.go
+++ b/internal/stand/pfleet/caller.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"cardamompass"
+	"cardamompass/internal/plat/strict"
 	"cardamompass/internal/stand/ptarg"
 )
 
@@ -30,9 +31,11 @@
 	Status int
 	// Whole is set when the response carries the seal and the body that belong to this request.
 	Whole bool
-	At    time.Time
-	Took  time.Duration
-	Err   error
+	// HeadErr is set when the head of the response is malformed.
+	HeadErr error
+	At      time.Time
+	Took    time.Duration
+	Err     error
 }
 
 // Callers send requests at a steady rate over kept-alive connections. They are safe for concurrent use.
@@ -184,7 +187,7 @@
 	if res.Err = err; err != nil {
 		return res
 	}
-	res.Status = rsp.StatusCode
+	res.Status, res.HeadErr = rsp.StatusCode, strict.CheckResponse(rsp)
 	res.Whole = rsp.Header.Get("Response-Seal") == "seal-"+id && string(data) == ptarg.Body(id)
 	return res
 }
--- a/internal/stand/pfleet/check.go
+++ b/internal/stand/pfleet/check.go
@@ -8,12 +8,15 @@
 )
 
 // Violations compares the callers' results with the runs at the targets and returns the violated guarantees: non-idempotent requests
-// that ran more than once, refused requests that ran, responses that are incomplete or belong to another request, requests that were
-// altered on the way, and more retries than allowed.
+// that ran more than once, refused requests that ran, responses that are malformed, incomplete or belong to another request, requests
+// that were altered on the way, and more retries than allowed.
 func Violations(results []Result, targets []*Target) (found []string) {
 	byID := make(map[string]Result, len(results))
 	for _, res := range results {
 		byID[res.ID] = res
+		if res.HeadErr != nil {
+			found = append(found, fmt.Sprintf("%s: status %d, %v", res.ID, res.Status, res.HeadErr))
+		}
 		if res.Status == http.StatusOK && !res.Whole {
 			found = append(found, fmt.Sprintf("%s: status 200, but the seal or the body of the response does not match the request", res.ID))
 		}
--- a/internal/stand/pfleet/pipeline.go
+++ b/internal/stand/pfleet/pipeline.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"cardamompass/internal/plat/strict"
 	"cardamompass/internal/stand/ptarg"
 )
 
@@ -86,7 +87,7 @@
 		if res.Err = err; err != nil {
 			return results
 		}
-		res.Status = rsp.StatusCode
+		res.Status, res.HeadErr = rsp.StatusCode, strict.CheckResponse(rsp)
 		res.Whole = rsp.Header.Get("Response-Seal") == "seal-"+res.ID && string(data) == ptarg.Body(res.ID)
 		if rsp.Close {
 			return results
