send: what follows a change of protocol is no response

Callers saw: the bytes behind a response with status 101 as the answer, when they read like one. Change: 101 is an invalid response. Evidence, before: the new case of TestMalformedHead failed: status 200 and the body behind the 101.

--- a/internal/edge/send/head_test.go
+++ b/internal/edge/send/head_test.go
@@ -27,6 +27,7 @@
 		{name: "status 000 without a body", text: "HTTP/1.1 000 None\r\n" + ownFields + "Content-Length: 0\r\n\r\n", keepOpen: true},
 		{name: "status 000 with a response behind it", text: "HTTP/1.1 000 None\r\n" + ownFields + "\r\nHTTP/1.1 200 OK\r\n" + ownFields + ownBody},
 		{name: "status 000 that denies the run", text: "HTTP/1.1 000 None\r\n" + ownFields + "Not-Executed: 1\r\n" + ownBody},
+		{name: "status 101 that was not asked for", text: "HTTP/1.1 101 Switch\r\nUpgrade: x\r\n\r\nHTTP/1.1 200 OK\r\n" + ownFields + ownBody},
 		{name: "status 099", text: "HTTP/1.1 099 Low\r\n" + ownFields + "Content-Length: 0\r\n\r\n", keepOpen: true},
 		{name: "status with a sign", text: "HTTP/1.1 +20 OK\r\n" + ownFields + "Content-Length: 0\r\n\r\n", keepOpen: true},
 		{name: "status -00", text: "HTTP/1.1 -00 OK\r\n" + ownFields + "Content-Length: 0\r\n\r\n", keepOpen: true},
--- a/internal/edge/send/response.go
+++ b/internal/edge/send/response.go
@@ -95,6 +95,9 @@
 	if err = cmp.Or(strict.CheckResponse(rsp), con.limit.folds.Err()); err != nil {
 		return nil, invalidResponse("%v", err)
 	}
+	if rsp.StatusCode == http.StatusSwitchingProtocols {
+		return nil, invalidResponse("the target asks for another protocol")
+	}
 	return rsp, nil
 }
 
