strict, docs: the incident of malformed heads

Cause: what callers got and get in each case, and where responses are read, was only in messages of commits. No behaviour changes.

--- a/internal/edge/send/response.go
+++ b/internal/edge/send/response.go
@@ -84,9 +84,9 @@
 
 // readHead reads the head of a response. The error is a *Failure.
 func (con *conn) readHead(ctx context.Context, req *http.Request) (rsp *http.Response, err error) {
-	begin, _ := con.rdr.Peek(con.rdr.Buffered()) // can't fail
 	con.limit.left, con.limit.folds = maxHeadBytes, strict.FoldScanner{}
-	con.limit.folds.Scan(begin)
+	already, _ := con.rdr.Peek(con.rdr.Buffered()) // read with the response before; can't fail
+	con.limit.folds.Scan(already)
 	rsp, err = http.ReadResponse(con.rdr, req)
 	con.limit.left = math.MaxInt64 // ReadAll bounds the body
 	if err != nil {
@@ -172,7 +172,7 @@
 type limitedReader struct {
 	src   io.Reader
 	left  int64
-	folds strict.FoldScanner
+	folds strict.FoldScanner // of the current head
 }
 
 func (lrd *limitedReader) Read(dst []byte) (num int, err error) {
--- a/internal/plat/strict/fold.go
+++ b/internal/plat/strict/fold.go
@@ -7,15 +7,15 @@
 // FoldScanner finds lines in a head that begin with a blank. net/http appends such a line to the value of the line before, so that a
 // field with a blank before its name is no field, and delimits no body. RFC 9112, section 5.2, lets a gateway reject the response.
 //
-// The zero value expects the begin of a head.
+// The zero value is at the start of a head.
 type FoldScanner struct {
-	column int  // of the next byte
+	column int  // of the next byte in its line
 	last   byte // the byte before
 	ended  bool
 	folded bool
 }
 
-// Scan scans the next bytes of a response. Those behind the head are ignored.
+// Scan scans the next bytes of a response. Those behind the head are ignored. As for net/http, a line may end without a carriage return.
 func (scn *FoldScanner) Scan(data []byte) {
 	for _, chr := range data {
 		switch {
--- a/internal/plat/strict/strict.go
+++ b/internal/plat/strict/strict.go
@@ -1,7 +1,9 @@
 // Package strict rejects HTTP/1.1 responses whose head breaks the grammar of RFC 9110 and RFC 9112 although net/http accepts it.
 //
 // The sender of such a head is at fault, and what follows the head may not be what net/http takes it for. Nothing that the response
-// states may be believed, and its connection must be closed.
+// states may be believed, and its connection should not be used again.
+//
+// CheckResponse finds what can be told from a response that net/http has read, FoldScanner what can only be told from its bytes.
 package strict
 
 import (
