health: one set-up for the tests that probe often

Cause: TestProbeOfMalformedHead repeated the prober of TestProber, found by a search for duplicates in the change. Change: probeOften in the test file; both use it with the same values.

--- a/internal/steer/health/head_test.go
+++ b/internal/steer/health/head_test.go
@@ -4,14 +4,10 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
 	"go.uber.org/goleak"
-
-	"cardamompass"
-	"cardamompass/internal/steer/health"
 )
 
 // Guards against sending work to a target whose health endpoint sends responses with malformed heads, on the word of their bodies.
@@ -49,18 +45,7 @@
 			}))
 			defer srv.Close()
 			trk := newTracker(1, nil)
-			prb, stop := health.NewProber(health.ProberConfig{
-				Tracker:  trk,
-				Clock:    cardamompass.SystemClock{},
-				Client:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-				Interval: time.Millisecond,
-				Timeout:  time.Minute,
-				// The rate is so high that only the interval limits the probes.
-				PerSecond: 10000,
-			})
-			tgts := targets(1)
-			tgts[0].Address = strings.TrimPrefix(srv.URL, "http://")
-			prb.SetTargets(tgts)
+			stop := probeOften(trk, srv)
 			for range 5 { // the last one begins when the results of the others are recorded
 				<-probes
 			}
--- a/internal/steer/health/health_test.go
+++ b/internal/steer/health/health_test.go
@@ -219,6 +219,23 @@
 	}
 }
 
+// probeOften probes the only target of trk at srv, every millisecond until stop is called.
+func probeOften(trk *health.Tracker, srv *httptest.Server) (stop func()) {
+	prb, stop := health.NewProber(health.ProberConfig{
+		Tracker:  trk,
+		Clock:    cardamompass.SystemClock{},
+		Client:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		Interval: time.Millisecond,
+		Timeout:  time.Minute,
+		// The rate is so high that only the interval limits the probes.
+		PerSecond: 10000,
+	})
+	tgts := targets(1)
+	tgts[0].Address = strings.TrimPrefix(srv.URL, "http://")
+	prb.SetTargets(tgts)
+	return stop
+}
+
 // Guards against probes that miss the state draining on an error status, that miss load reports, or that continue after
 // the prober is stopped.
 func TestProber(t *testing.T) {
@@ -240,18 +257,7 @@
 	defer srv.Close()
 	reports := make(chan health.LeavingReport, 1)
 	trk := newTracker(1, func(rep health.LeavingReport) { reports <- rep })
-	prb, stop := health.NewProber(health.ProberConfig{
-		Tracker:  trk,
-		Clock:    cardamompass.SystemClock{},
-		Client:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-		Interval: time.Millisecond,
-		Timeout:  time.Minute,
-		// The rate is so high that only the interval limits the probes.
-		PerSecond: 10000,
-	})
-	tgts := targets(1)
-	tgts[0].Address = strings.TrimPrefix(srv.URL, "http://")
-	prb.SetTargets(tgts)
+	stop := probeOften(trk, srv)
 	rep := <-reports
 	stop()
 	if rep.Signal != health.SignalHealthProbe || rep.Target != "core-0" {
