send: the part of a response before a reset is not the whole

Callers saw: a part of the body of an early answer as the answer, with its status, its seal and the length of the part. The target had answered a long upload at once, without a length, and reset the connection while the upload was still being written. Cause: the end of such a response is the close of its connection, and the reader took io.EOF for a close. The operating system reports a reset once. While an upload is written, a write and a read compete for the report; when the write gets it, the reads return the bytes that have arrived and then io.EOF, as after a close. The error of the write was not looked at, since a target may answer before it has read the request. Change: the connections to targets are strict.Conns. At io.EOF, a read ends the write in progress and returns the failure that a write has met, if there is one. The request may have run: it is retried if it is idempotent, and gets 502 if not. Why it works: whoever got the report, it is recorded before io.EOF is judged. A reset behind a close is EPIPE to a write and no failure, so that a sound early answer still goes to the caller at once, without waiting for the upload.

--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -39,9 +39,11 @@
 	bodies   *buffer.Pool
 	crashes  []cardamompass.Crash
 	// onDial is called before each connection to a target is opened. Optional.
-	onDial  func()
-	logs    logBuffer
-	metrics *metric.Metrics
+	onDial func()
+	// writeBuffer is the size of the send buffers of connections to targets in bytes; 0 leaves it to the operating system.
+	writeBuffer int
+	logs        logBuffer
+	metrics     *metric.Metrics
 	// steering is what the front reads; the zero value is the default.
 	steering atomic.Pointer[steer.Settings]
 	sender   *send.Sender
@@ -207,7 +209,11 @@
 	if fxt.onDial != nil {
 		fxt.onDial()
 	}
-	return send.Dialer(time.Second)(ctx, network, address)
+	con, err = send.Dialer(time.Second)(ctx, network, address)
+	if tcp, ok := con.(*net.TCPConn); ok && fxt.writeBuffer > 0 {
+		err = tcp.SetWriteBuffer(fxt.writeBuffer)
+	}
+	return con, err
 }
 
 func (fxt *fixture) view() (vew *view.View) {
--- a/internal/edge/send/pool.go
+++ b/internal/edge/send/pool.go
@@ -11,6 +11,7 @@
 
 	"cardamompass"
 	"cardamompass/internal/edge/sock"
+	"cardamompass/internal/plat/strict"
 )
 
 // connect returns an idle connection on which nothing has arrived, or a new one.
@@ -21,7 +22,7 @@
 			break
 		}
 		// Bytes that arrived while the connection was idle belong to no request.
-		if sock.Peek(con.Conn) == sock.NoData {
+		if sock.Peek(con.socket) == sock.NoData {
 			return con, nil
 		}
 		_ = con.Close()
@@ -42,11 +43,13 @@
 		return nil, notSent(kind, err)
 	}
 	snd.cfg.OnConnect()
+	scn := strict.NewConn(raw)
 	lrd := &limitedReader{
-		src: raw,
+		src: scn,
 	}
 	return &conn{
-		Conn:      raw,
+		Conn:      scn,
+		socket:    raw,
 		rdr:       bufio.NewReaderSize(lrd, readBufferSize),
 		limit:     lrd,
 		idleSince: snd.cfg.Clock.Now(),
--- a/internal/edge/send/send.go
+++ b/internal/edge/send/send.go
@@ -21,6 +21,7 @@
 
 	"cardamompass"
 	"cardamompass/internal/edge/buffer"
+	"cardamompass/internal/plat/strict"
 )
 
 const (
@@ -158,7 +159,8 @@
 }
 
 type conn struct {
-	net.Conn
+	*strict.Conn
+	socket    net.Conn // below Conn
 	rdr       *bufio.Reader
 	limit     *limitedReader // below rdr
 	reused    bool           // has carried a request before
@@ -221,7 +223,7 @@
 	defer stop()
 	restore := func() {}
 	if msg.NonIdempotent {
-		restore = disableDetection(con.Conn)
+		restore = disableDetection(con.socket)
 	}
 	rep, reusable, written, err := snd.exchange(ctx, con, ins, msg, left)
 	if idleFor := began.Sub(con.idleSince); idleFor > safeIdleTime && brokenBeforeResponse(err) {
--- a/internal/plat/strict/strict.go
+++ b/internal/plat/strict/strict.go
@@ -1,9 +1,11 @@
-// Package strict rejects HTTP/1.1 responses whose head breaks the grammar of RFC 9110 and RFC 9112 although net/http accepts it.
+// Package strict rejects HTTP/1.1 responses that net/http accepts although their head breaks the grammar of RFC 9110 and RFC 9112, or
+// although they were broken off.
 //
-// The sender of such a head is at fault, and what follows the head may not be what net/http takes it for. Nothing that the response
-// states may be believed, and its connection should not be used again.
+// The sender of a malformed head is at fault, and what follows the head may not be what net/http takes it for. Nothing that the response
+// states may be believed, and its connection should not be used again. CheckResponse finds what can be told from a response that net/http
+// has read, FoldScanner what can only be told from its bytes.
 //
-// CheckResponse finds what can be told from a response that net/http has read, FoldScanner what can only be told from its bytes.
+// Conn tells the end of a response without a declared length from a reset of its connection.
 package strict
 
 import (
--- a/internal/stand/ptarg/flood.go
+++ b/internal/stand/ptarg/flood.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		return
 	}
-	tgt.recordRun(req, body)
+	tgt.record(newRun(req, body))
 	_, _ = io.WriteString(con, "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 	_, _ = io.WriteString(con, encodeResponse(req.Header.Get("Request-Id")))
 }
@@ -112,7 +112,7 @@
 	_ = con.SetReadDeadline(time.Now().Add(5 * time.Second))
 	body := make([]byte, req.ContentLength)
 	num, err := io.ReadFull(buf.Reader, body)
-	tgt.recordRun(req, body[:num])
+	tgt.record(newRun(req, body[:num]))
 	if err == nil {
 		tgt.serveRecorded(con, buf.Reader)
 	}
@@ -131,6 +131,6 @@
 	if err != nil {
 		return
 	}
-	tgt.recordRun(req, body)
+	tgt.record(newRun(req, body))
 	_, _ = io.WriteString(con, encodeResponse(req.Header.Get("Request-Id")))
 }
--- a/internal/stand/ptarg/ptarg.go
+++ b/internal/stand/ptarg/ptarg.go
@@ -52,6 +52,12 @@
 	FaultLateCopy Fault = "late-copy"
 	// FaultEarlyKeep responds before the body of the request is read, reads the rest of the body and keeps the connection.
 	FaultEarlyKeep Fault = "early-keep"
+	// FaultEarlyClose responds without a length before the body of the request is read, ends the response by closing the sending side of
+	// the connection, and reads the rest of the body.
+	FaultEarlyClose Fault = "early-close"
+	// FaultEarlyReset responds without a length before the body of the request is read, sends a part of the body of the response and
+	// resets the connection.
+	FaultEarlyReset Fault = "early-reset"
 	// FaultEndlessLine sends a status line without end.
 	FaultEndlessLine Fault = "endless-line"
 	// FaultEndlessHead sends header lines without end.
@@ -89,6 +95,8 @@
 // Run is one request that a target started to run.
 type Run struct {
 	ID, Method, Path, Body, Timeout string
+	// BodyUnread is set if the target responded before it read the body, which is then unknown.
+	BodyUnread bool
 	// Header holds all headers of the request.
 	Header http.Header
 	At     time.Time
@@ -310,13 +318,17 @@
 		tgt.respondEarly(wrt, req, id)
 		return
 	}
+	if flt == FaultEarlyClose || flt == FaultEarlyReset {
+		tgt.respondUnframed(wrt, req, flt, id)
+		return
+	}
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		return
 	}
 	tgt.running.Add(1)
 	defer tgt.running.Add(-1)
-	tgt.recordRun(req, body)
+	tgt.record(newRun(req, body))
 	select {
 	case <-time.After(tgt.cfg.ServiceTime):
 	case <-req.Context().Done():
@@ -325,10 +337,8 @@
 	tgt.respond(wrt, req, flt, id)
 }
 
-func (tgt *Target) recordRun(req *http.Request, body []byte) {
-	tgt.mu.Lock()
-	defer tgt.mu.Unlock()
-	tgt.runs = append(tgt.runs, Run{
+func newRun(req *http.Request, body []byte) (run Run) {
+	return Run{
 		ID:      req.Header.Get("Request-Id"),
 		Method:  req.Method,
 		Path:    req.RequestURI,
@@ -336,7 +346,13 @@
 		Timeout: req.Header.Get("Timeout-Ms"),
 		Header:  req.Header.Clone(),
 		At:      time.Now(),
-	})
+	}
+}
+
+func (tgt *Target) record(run Run) {
+	tgt.mu.Lock()
+	defer tgt.mu.Unlock()
+	tgt.runs = append(tgt.runs, run)
 }
 
 // Body returns the body of the response to a request.
@@ -372,7 +388,7 @@
 	case FaultEndlessLine, FaultEndlessHead, FaultEndlessInterim, FaultEndlessBody, FaultEndlessNoise, FaultEndlessChunks,
 		FaultEndlessExtension, FaultEndlessTrailer:
 		tgt.flood(wrt, flt, head)
-	case FaultEarlyKeep, FaultNone, FaultError, FaultFalse503, FaultShed, FaultEarly:
+	case FaultEarlyKeep, FaultEarlyClose, FaultEarlyReset, FaultNone, FaultError, FaultFalse503, FaultShed, FaultEarly:
 		wrt.Header().Set("Response-Seal", "seal-"+id)
 		wrt.Header().Set("Server-Load", fmt.Sprintf("%d,0,%d,100", tgt.running.Load()-1, tgt.cfg.Slots))
 		wrt.Header().Set("Content-Length", strconv.Itoa(len(body)))
