httpc: a response of a platform service that was broken off is not believed

Callers saw: nothing by itself. cardamompass serve took it that a write of a long value had no effect, on the word of a response without a length that the store had broken off with a reset while the value was still being sent. If a write of http.Transport got the report of the reset, the body ended as with a close. Change: the connections to the store and the VM list are strict.Conns. The outcome of the write is unknown then, so that it is read back.

--- a/internal/plat/httpc/httpc.go
+++ b/internal/plat/httpc/httpc.go
@@ -91,9 +91,9 @@
 		cfg.Timeout = DefaultTimeout
 	}
 	trn := &http.Transport{
-		DialContext: (&net.Dialer{
+		DialContext: strict.Dialer((&net.Dialer{
 			Timeout: cfg.Timeout,
-		}).DialContext,
+		}).DialContext),
 		MaxIdleConnsPerHost:    maxConns,
 		MaxConnsPerHost:        maxConns,
 		IdleConnTimeout:        idleTimeout,
