fault: the reset of an upstream is not passed on as a close

Callers saw: nothing; this is the proxy of the tests. A test whose target resets a connection during an upload would have seen a VM read an orderly end, and hand on what is whole as far as the VM can tell. The proxy reads one direction and writes the other on the same connection; when the write got the report of the reset, the read returned io.EOF, and the proxy closed the other side. Change: at io.EOF the proxy looks at the state of the socket, which is still that of a reset. It does not use strict.Conn, since it must go on forwarding to an upstream that has closed one direction. sock.HungUp shares the look-up of the state with the new sock.Reset and does as before.

--- a/internal/edge/sock/sock.go
+++ b/internal/edge/sock/sock.go
@@ -49,37 +49,52 @@
 	}
 }
 
-// The states of a TCP connection, as numbered by Linux, in which its peer may still read what is sent and has not ended its own stream.
+// The states of a TCP connection, as numbered by Linux. In the first three its peer may still read what is sent and has not ended its own
+// stream. tcpClose is the state after a reset, also of a connection that the peer has closed before.
 const (
 	tcpEstablished = 1
 	tcpFinWait1    = 4
 	tcpFinWait2    = 5
+	tcpClose       = 7
 )
 
 // HungUp reports whether the peer of a TCP connection has closed or reset it, also while bytes that it sent before were not read yet,
 // which Peek reports as DataPending.
 func HungUp(con net.Conn) (ok bool) {
+	sta, known := tcpState(con)
+	switch sta {
+	case tcpEstablished, tcpFinWait1, tcpFinWait2:
+		return false
+	default:
+		return known
+	}
+}
+
+// Reset reports whether a TCP connection was reset or is closed on this side. Unlike a read, it also tells the reset from a close when the
+// operating system has reported it to a write.
+func Reset(con net.Conn) (ok bool) {
+	sta, known := tcpState(con)
+	return known && sta == tcpClose
+}
+
+// tcpState returns the state of a TCP connection. ok is false if con is not a socket of the operating system.
+func tcpState(con net.Conn) (sta int, ok bool) {
 	sys, ok := con.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, false
 	}
 	raw, err := sys.SyscallConn()
 	if err != nil {
-		return true
+		return tcpClose, true
 	}
 	info, ierr := 0, error(nil)
 	// The first byte of the structure that TCP_INFO returns is the state of the connection.
 	err = raw.Control(func(fd uintptr) { info, ierr = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO) })
 	switch {
 	case err != nil:
-		return true
+		return tcpClose, true
 	case ierr != nil:
-		return false
-	}
-	switch info & 0xff {
-	case tcpEstablished, tcpFinWait1, tcpFinWait2:
-		return false
-	default:
-		return true
+		return 0, false
 	}
+	return info & 0xff, true
 }
--- a/internal/edge/sock/sock_test.go
+++ b/internal/edge/sock/sock_test.go
@@ -123,3 +123,42 @@
 		t.Fatalf("state of a pipe %v, want %v", got, sock.NoData)
 	}
 }
+
+// Guards against a close that counts as a reset, and against overlooking a reset that was reported to a write.
+func TestReset(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(near, far *net.TCPConn)
+		want bool
+	}{
+		{name: "open", do: func(_, _ *net.TCPConn) {}},
+		{name: "closed by the peer", do: func(_, far *net.TCPConn) { far.Close() }},
+		{name: "closed by this side", do: func(near, _ *net.TCPConn) { near.Close() }, want: true},
+		{
+			name: "reset, reported to a write",
+			do: func(near, far *net.TCPConn) {
+				_ = far.SetLinger(0)
+				far.Close()
+				for err := error(nil); err == nil; {
+					_, err = near.Write([]byte("x"))
+				}
+			},
+			want: true,
+		},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			near, far := pair(t)
+			tst.do(near, far)
+			if got := sock.Reset(near); got != tst.want {
+				t.Fatalf("reset %v, want %v", got, tst.want)
+			}
+		})
+	}
+	one, two := net.Pipe()
+	defer one.Close()
+	defer two.Close()
+	if sock.Reset(one) {
+		t.Fatal("a pipe was reset")
+	}
+}
--- a/internal/stand/fault/fault_test.go
+++ b/internal/stand/fault/fault_test.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/goleak"
 
+	"cardamompass/internal/plat/strict"
 	"cardamompass/internal/stand/ctrl"
 	"cardamompass/internal/stand/fault"
 )
@@ -228,3 +229,26 @@
 	}
 	fix.send(upOne, one, string(make([]byte, 4*size)))
 }
+
+// Guards against passing on the reset of an upstream as its close, when the reset was reported to the other direction.
+func TestUpstreamResetDuringUpload(t *testing.T) {
+	const connections = 20 // a read or a write of the connection gets the report of the reset
+	fix := start(t)
+	for num := range connections {
+		raw, ups := fix.pair()
+		cli := strict.NewConn(raw)
+		go func() {
+			buf := make([]byte, 64<<10)
+			for err := error(nil); err == nil; {
+				_, err = cli.Write(buf)
+			}
+		}()
+		_, _ = io.ReadFull(ups, make([]byte, 8<<20)) // the upload is in progress
+		_, _ = io.WriteString(ups, "part of")
+		_ = ups.(*net.TCPConn).SetLinger(0)
+		_ = ups.Close()
+		if data, err := io.ReadAll(cli); err == nil {
+			t.Fatalf("connection %d: read %q and an orderly end", num, data)
+		}
+	}
+}
--- a/internal/stand/fault/pair.go
+++ b/internal/stand/fault/pair.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cardamompass/internal/edge/sock"
 )
 
 const (
@@ -135,7 +137,7 @@
 			par.push(que, chunk{
 				due: due,
 				eof: true,
-				err: !errors.Is(err, io.EOF),
+				err: !errors.Is(err, io.EOF) || sock.Reset(src), // the other direction may have got the report of a reset
 			})
 			return
 		}
