proof: early answers to uploads, with real entry VMs

Cause: no test of whole processes sent uploads, or had targets that answer them before they have read them. The callers of the tests can send uploads; a target that answers early records that it has not read the body. These targets are registered with their own addresses, since the proxies before them read ahead, so that the write of a VM would end before the reset.

--- a/internal/proof/users/users_test.go
+++ b/internal/proof/users/users_test.go
@@ -106,11 +106,14 @@
 }
 
 // startLoad sends requests in the background until stop is called; stop waits until all of them have ended.
-func (tfl *testFleet) startLoad() (stop func()) {
+func (tfl *testFleet) startLoad() (stop func()) { return tfl.startLoadAt(requestsPerSecond) }
+
+// startLoadAt is startLoad with another rate.
+func (tfl *testFleet) startLoadAt(perSecond int) (stop func()) {
 	ctx, cancel := context.WithCancel(tfl.t.Context())
 	var running sync.WaitGroup
 	running.Go(func() {
-		tfl.callers.Run(ctx, requestsPerSecond, func(idempotent bool) string {
+		tfl.callers.Run(ctx, perSecond, func(idempotent bool) string {
 			if idempotent {
 				return "/read/a"
 			}
--- a/internal/stand/pfleet/caller.go
+++ b/internal/stand/pfleet/caller.go
@@ -25,6 +25,8 @@
 	Path       string
 	VM         string
 	Idempotent bool
+	// BodySize is the length of the body of the request.
+	BodySize int
 	// Written is set when the whole request was written.
 	Written bool
 	// Status is 0 when no complete response was received.
@@ -48,6 +50,7 @@
 	results []Result
 	vms     []string // addresses from the last successful look-up
 	pinned  bool     // vms stays as it is
+	upload  int      // size of the bodies of uploads in bytes; 0 if the callers send none
 }
 
 // callerTimeout is how long a caller waits for a response.
@@ -77,6 +80,32 @@
 	cls.key = key
 }
 
+// SetUploadSize makes later requests uploads, idempotent ones included, whose bodies have this many bytes.
+func (cls *Callers) SetUploadSize(size int) {
+	cls.mu.Lock()
+	defer cls.mu.Unlock()
+	cls.upload = size
+}
+
+// bodySize returns the length of the body of a request; 0 if it has none.
+func (cls *Callers) bodySize(id string, idempotent bool) (size int) {
+	cls.mu.Lock()
+	defer cls.mu.Unlock()
+	if idempotent {
+		return cls.upload
+	}
+	return max(cls.upload, len(bodyPrefix+id))
+}
+
+// bodyPrefix begins the body of each request; the ID of the request follows.
+const bodyPrefix = "body of "
+
+// requestBody returns the body of a request of a caller.
+func requestBody(id string, size int) (body string) {
+	body = bodyPrefix + id
+	return (body + strings.Repeat("x", max(0, size-len(body))))[:size]
+}
+
 // UseAllVMs makes the callers send to all VMs, whatever look-ups return.
 func (cls *Callers) UseAllVMs() {
 	cls.mu.Lock()
@@ -151,9 +180,9 @@
 		cls.results = append(cls.results, res)
 		cls.mu.Unlock()
 	}()
-	method, body := http.MethodPost, io.Reader(strings.NewReader("body of "+id))
-	if idempotent {
-		method, body = http.MethodGet, nil
+	method, body := http.MethodGet, io.Reader(nil)
+	if res.BodySize = cls.bodySize(id, idempotent); res.BodySize > 0 {
+		method, body = http.MethodPost, strings.NewReader(requestBody(id, res.BodySize))
 	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
 	if err != nil {
--- a/internal/stand/pfleet/check.go
+++ b/internal/stand/pfleet/check.go
@@ -30,12 +30,8 @@
 				retries = append(retries, run.At)
 			}
 			res, ok := byID[run.ID]
-			want := "body of " + run.ID
-			if res.Idempotent {
-				want = ""
-			}
-			if !ok || run.Path != res.Path || run.Body != want {
-				found = append(found, fmt.Sprintf("%s: ran as %s %s with body %q, but no such request was sent",
+			if !ok || run.Path != res.Path || (!run.BodyUnread && run.Body != requestBody(run.ID, res.BodySize)) {
+				found = append(found, fmt.Sprintf("%s: ran as %s %s with body %.40q, but no such request was sent",
 					run.ID, run.Method, run.Path, run.Body))
 			}
 		}
--- a/internal/stand/pfleet/pfleet.go
+++ b/internal/stand/pfleet/pfleet.go
@@ -98,6 +98,7 @@
 // Limits are the operator's limits for callers.
 type Limits struct {
 	HeaderBytes   int
+	BodyBytes     int
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 }
@@ -140,6 +141,7 @@
 	flt = &Fleet{
 		Limits: Limits{
 			HeaderBytes:   16384,
+			BodyBytes:     1 << 20,
 			HeaderTimeout: 3 * time.Second,
 			IdleTimeout:   15 * time.Second,
 		},
@@ -218,6 +220,11 @@
 	flt.Store.Put("servers/"+tgt.ID, ent)
 }
 
+// RegisterDirect writes the target's registration with its own address, so that VMs don't send through its proxy, which reads ahead.
+func (flt *Fleet) RegisterDirect(tgt *Target) {
+	flt.Store.Put("servers/"+tgt.ID, tgt.Registration(Service, tgt.Zone, "ready"))
+}
+
 // Configure writes the operator's configuration to the store: its version and the path prefixes of idempotent (reads) and
 // non-idempotent (writes) routes. Its limits, teams and public routes are those of the Fleet.
 func (flt *Fleet) Configure(version int, reads, writes []string) {
@@ -255,7 +262,7 @@
 		}},
 		"limits": map[string]any{
 			"maxHeaderBytes": flt.Limits.HeaderBytes,
-			"maxBodyBytes":   1 << 20,
+			"maxBodyBytes":   flt.Limits.BodyBytes,
 			"headerTimeoutS": flt.Limits.HeaderTimeout.Seconds(),
 			"idleTimeoutS":   flt.Limits.IdleTimeout.Seconds(),
 		},
