--- a/internal/plat/kvhttp/early_test.go
+++ b/internal/plat/kvhttp/early_test.go
@@ -58,3 +58,28 @@
 		})
 	}
 }
+
+// Guards against taking the part of a response for the whole when the store has closed the connection within it.
+func TestPartOfResponse(t *testing.T) {
+	for _, body := range []string{"", "{", `{"key":"k","value":"dg==","revision":1,"id":"l","ttl-ms":1000,"remaining-ms":1000`} {
+		kst := client(t, serve(t, http.HandlerFunc(func(rsw http.ResponseWriter, _ *http.Request) {
+			con, _, err := http.NewResponseController(rsw).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer con.Close()
+			_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\n\r\n"+body)
+		})), 10*time.Second)
+		ctx := context.Background()
+		if _, err := kst.Put(ctx, "k", []byte("v"), 0); kind(err) != "unknown" {
+			t.Errorf("body %q: Put: %v is %s, want unknown", body, err, kind(err))
+		}
+		if _, err := kst.Renew(ctx, "l"); kind(err) != "unknown" {
+			t.Errorf("body %q: Renew: %v is %s, want unknown", body, err, kind(err))
+		}
+		if _, err := kst.Get(ctx, "k"); kind(err) != "plain" {
+			t.Errorf("body %q: Get: %v is %s, want plain", body, err, kind(err))
+		}
+	}
+}
--- a/internal/steer/health/head_test.go
+++ b/internal/steer/health/head_test.go
@@ -10,7 +10,8 @@
 	"go.uber.org/goleak"
 )
 
-// Guards against sending work to a target whose health endpoint sends responses with malformed heads, on the word of their bodies.
+// Guards against sending work to a target whose health endpoint sends responses with malformed heads, or parts of responses, on the word
+// of their bodies.
 func TestProbeOfMalformedHead(t *testing.T) {
 	const body = "Content-Length: 19\r\n\r\n" + `{"state":"serving"}`
 	tests := []struct {
@@ -22,6 +23,9 @@
 		{name: "status 000", text: "HTTP/1.1 000 None\r\n" + body},
 		{name: "status 600", text: "HTTP/1.1 600 High\r\n" + body},
 		{name: "blank in a name", text: "HTTP/1.1 200 OK\r\nBad Name: x\r\n" + body},
+		{name: "valid without a length", text: "HTTP/1.1 200 OK\r\n\r\n" + `{"state":"serving"}`, used: true},
+		{name: "part of a body", text: "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n" + `{"state":"serving"}`},
+		{name: "part of a body without a length", text: "HTTP/1.1 200 OK\r\n\r\n" + `{"state":"serving"`},
 		{name: "control byte in a name", text: "HTTP/1.1 200 OK\r\nBad\x01Name: x\r\n" + body},
 	}
 	for _, tst := range tests {
