--- a/internal/edge/send/response.go
+++ b/internal/edge/send/response.go
@@ -131,8 +131,9 @@
 	}
 }
 
-// readBody reads a body to its end. A response without a declared length ends when the connection is closed; a reset is an error.
-// It does not close the body, which would read an endless one to its end; after an error the connection is closed.
+// readBody reads a body to its end. A response without a declared length ends when the connection is closed; a reset is an error, for
+// which strict.Conn provides. It does not close the body, which would read an endless one to its end; after an error the connection is
+// closed.
 func readBody(rsp *http.Response, buf *buffer.Buffer, limit int64) (data []byte, err error) {
 	if rsp.Body == http.NoBody {
 		return nil, nil // the length that a response to HEAD declares is that of another response
--- a/internal/edge/send/send.go
+++ b/internal/edge/send/send.go
@@ -160,7 +160,7 @@
 
 type conn struct {
 	*strict.Conn
-	socket    net.Conn // below Conn
+	socket    net.Conn // below Conn; not for reads and writes
 	rdr       *bufio.Reader
 	limit     *limitedReader // below rdr
 	reused    bool           // has carried a request before
--- a/internal/plat/strict/conn.go
+++ b/internal/plat/strict/conn.go
@@ -19,7 +19,7 @@
 // The operating system reports the reset or the failure of a connection once. If a write gets the report, the reads of a net.TCPConn
 // return the bytes that have arrived and then io.EOF, as after a close. Those of a Conn return the error of the write in its place.
 //
-// It is safe for concurrent use, with one reader.
+// It is safe for concurrent use, but only one goroutine may read at a time.
 type Conn struct {
 	net.Conn
 
@@ -40,7 +40,7 @@
 type DialFunc = func(ctx context.Context, network, address string) (con net.Conn, err error)
 
 // Dialer returns a function that opens connections with dial and returns them as Conns.
-func Dialer(dial DialFunc) (strict DialFunc) {
+func Dialer(dial DialFunc) (strictDial DialFunc) {
 	return func(ctx context.Context, network, address string) (con net.Conn, err error) {
 		if con, err = dial(ctx, network, address); err != nil {
 			return nil, err
--- a/internal/plat/strict/conn_test.go
+++ b/internal/plat/strict/conn_test.go
@@ -111,8 +111,13 @@
 	if _, err := con.Read(make([]byte, 10)); !errors.Is(err, io.EOF) {
 		t.Errorf("error %v, want io.EOF", err)
 	}
-	if err := <-written; !errors.Is(err, os.ErrDeadlineExceeded) {
-		t.Errorf("the write failed with %v", err)
+	select {
+	case err := <-written:
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("the write failed with %v", err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the write goes on")
 	}
 }
 
