send: the head and the body of an upload go out in one write again

Cause: since connections to targets are strict.Conns, net.Buffers wrote the head and the body of a long upload one after the other. The head arrived alone, and a target that closes before the body has arrived closes in order where it would have reset the connection: the part of its answer has a whole one's end. The test was at fault, too, since its connections write twice in any case: it closed without waiting for bytes of the upload, which it is about. Change: strict.Conn.WriteBuffers, which uses one writev of the socket as before. The target of the test closes once bytes are unread, so that each of its runs is of the case that its name says.

--- a/internal/edge/send/early_test.go
+++ b/internal/edge/send/early_test.go
@@ -14,6 +14,7 @@
 
 	"cardamompass"
 	"cardamompass/internal/edge/send"
+	"cardamompass/internal/edge/sock"
 	"cardamompass/platform"
 )
 
@@ -124,7 +125,12 @@
 		{
 			name: "closed with unread bytes", // makes the operating system reset the connection
 			text: "HTTP/1.1 200 OK\r\n" + ownFields + "\r\npart of",
-			end:  func(con *net.TCPConn) { _ = con.Close() },
+			end: func(con *net.TCPConn) {
+				for end := time.Now().Add(5 * time.Second); sock.Peek(con) == sock.NoData && time.Now().Before(end); {
+					time.Sleep(time.Millisecond)
+				}
+				_ = con.Close()
+			},
 		},
 	}
 	for _, tst := range tests {
--- a/internal/edge/send/send.go
+++ b/internal/edge/send/send.go
@@ -291,7 +291,7 @@
 			msg.Buffer.Retain()
 		}
 		go func() {
-			_, werr := (&net.Buffers{head, body}).WriteTo(con.Conn)
+			_, werr := con.WriteBuffers(net.Buffers{head, body})
 			if msg.Buffer != nil {
 				msg.Buffer.Release()
 			}
--- a/internal/plat/strict/conn.go
+++ b/internal/plat/strict/conn.go
@@ -58,6 +58,15 @@
 	return num, err
 }
 
+// WriteBuffers writes bufs, like net.Buffers.WriteTo with one call of the operating system if it can. It consumes bufs.
+func (scn *Conn) WriteBuffers(bufs net.Buffers) (num int64, err error) {
+	scn.writing.Lock()
+	defer scn.writing.Unlock()
+	num, err = bufs.WriteTo(scn.Conn)
+	scn.recordFailure(err)
+	return num, err
+}
+
 // Read implements net.Conn. At the end of the connection it ends the write in progress, and later ones fail: no response to them can come.
 func (scn *Conn) Read(buf []byte) (num int, err error) {
 	num, err = scn.Conn.Read(buf)
--- a/internal/plat/strict/conn_test.go
+++ b/internal/plat/strict/conn_test.go
@@ -34,13 +34,21 @@
 }
 
 // writeUntilError writes until a write fails and returns its error.
-func writeUntilError(con net.Conn) (err error) {
+func writeUntilError(con *strict.Conn) (err error) {
 	for buf := make([]byte, 64<<10); err == nil; {
 		_, err = con.Write(buf)
 	}
 	return err
 }
 
+// writeBuffersUntilError is writeUntilError for two buffers at a time.
+func writeBuffersUntilError(con *strict.Conn) (err error) {
+	for buf := make([]byte, 32<<10); err == nil; {
+		_, err = con.WriteBuffers(net.Buffers{buf, buf})
+	}
+	return err
+}
+
 func reset(con *net.TCPConn) {
 	_ = con.SetLinger(0)
 	_ = con.Close()
@@ -51,8 +59,8 @@
 	tests := []struct {
 		name string
 		end  func(peer *net.TCPConn)
-		// write is set if a write meets the end of the connection before it is read.
-		write   bool
+		// write meets the end of the connection before it is read and returns written. Optional.
+		write   func(con *strict.Conn) (err error)
 		written error
 		want    error
 	}{
@@ -64,12 +72,19 @@
 				_ = peer.CloseWrite()
 				reset(peer)
 			},
-			write:   true,
+			write:   writeUntilError,
 			written: syscall.EPIPE,
 			want:    io.EOF,
 		},
 		{name: "reset", end: reset, want: syscall.ECONNRESET},
-		{name: "reset that a write meets", end: reset, write: true, written: syscall.ECONNRESET, want: syscall.ECONNRESET},
+		{name: "reset that a write meets", end: reset, write: writeUntilError, written: syscall.ECONNRESET, want: syscall.ECONNRESET},
+		{
+			name:    "reset that a write of buffers meets",
+			end:     reset,
+			write:   writeBuffersUntilError,
+			written: syscall.ECONNRESET,
+			want:    syscall.ECONNRESET,
+		},
 	}
 	for _, tst := range tests {
 		t.Run(tst.name, func(t *testing.T) {
@@ -78,8 +93,8 @@
 				t.Fatal(err)
 			}
 			tst.end(peer)
-			if tst.write {
-				if err := writeUntilError(con); !errors.Is(err, tst.written) {
+			if tst.write != nil {
+				if err := tst.write(con); !errors.Is(err, tst.written) {
 					t.Fatalf("the write failed with %v, want %v", err, tst.written)
 				}
 			}
@@ -99,9 +114,15 @@
 
 // Guards against a read that waits for the write of a request when the peer has closed the connection.
 func TestConnEndDuringWrite(t *testing.T) {
+	t.Run("write", func(t *testing.T) { testConnEndDuringWrite(t, writeUntilError) })
+	t.Run("buffers", func(t *testing.T) { testConnEndDuringWrite(t, writeBuffersUntilError) })
+}
+
+func testConnEndDuringWrite(t *testing.T, write func(con *strict.Conn) (err error)) {
+	t.Helper()
 	con, peer := pair(t)
 	written := make(chan error, 1)
-	go func() { written <- writeUntilError(con) }()
+	go func() { written <- write(con) }()
 	if _, err := io.ReadFull(peer, make([]byte, 1<<20)); err != nil { // the write is in progress
 		t.Fatal(err)
 	}
