platform, view: a listing that the store does not answer is repeated beside it

Cause: a store that is silent never answers the calls that it gets then, also when it serves again. A VM had one listing outstanding and gave it up after 10 s when the history was lost, and after 1.5, 3, 6 and 10 s at a start. The store counted as answering meanwhile, since it had said that the history is lost, so that no other VM was asked for its routing table. Change: a listing that has not begun to arrive is made once more each second beside the earlier ones, and the first whose response begins is taken. The first keeps its patience of 10 s, so that a store which is slow because all VMs list at once is still waited for. At the first repetition the store counts as lost. Why this works: a call that was made after the silence is answered, and one is made at most a second after it.

--- a/internal/fleet/view/follow.go
+++ b/internal/fleet/view/follow.go
@@ -33,10 +33,9 @@
 	// retryMin and retryMax bound the pause after a failed call. Refused calls cost as much as others.
 	retryMin = 100 * time.Millisecond
 	retryMax = 500 * time.Millisecond
-	// listPatienceMin and listPatienceMax bound the time within which a listing must begin. It is the longer one when the store has just
-	// answered; otherwise it starts with the shorter one and doubles with each listing.
-	listPatienceMin = 1500 * time.Millisecond
-	listPatienceMax = 10 * time.Second
+	// listPatience bounds the time within which a listing must begin. It is that of a store which all VMs ask at once for everything; the
+	// registry repeats a listing that is not answered much sooner.
+	listPatience = 10 * time.Second
 	// outageWatchWait is how long the store holds a watch during an outage. A call that the store never answers must not delay
 	// the detection of its recovery for long.
 	outageWatchWait = 20 * time.Millisecond
@@ -60,11 +59,12 @@
 	lastResponse atomic.Int64 // time of the last response of the store, in nanoseconds since the Unix epoch
 	outage       Outage
 	listed       bool
-	listPatience time.Duration // of the next listing
 	retryPause   time.Duration
 	// early passes on changes that arrive before the call that reads them has ended, peer those that other VMs have reported.
 	early chan []cardamompass.Change
 	peer  chan []cardamompass.Change
+	// unanswered reports that the store does not begin to answer a listing.
+	unanswered chan struct{}
 	// giveUp ends the current watch, checking makes the next call one that the store answers at once.
 	giveUp   atomic.Pointer[context.CancelCauseFunc]
 	checking bool
@@ -78,11 +78,11 @@
 		cfg.OnChange = func(*View, *View) {}
 	}
 	flw = &Follower{
-		cfg:          cfg,
-		listPatience: listPatienceMin,
-		retryPause:   retryMin,
-		early:        make(chan []cardamompass.Change),
-		peer:         make(chan []cardamompass.Change),
+		cfg:        cfg,
+		retryPause: retryMin,
+		early:      make(chan []cardamompass.Change),
+		peer:       make(chan []cardamompass.Change),
+		unanswered: make(chan struct{}),
 	}
 	flw.current.Store(Empty())
 	ctx, cancel := context.WithCancel(context.Background())
@@ -129,6 +129,9 @@
 // errChecked is the cause of the end of a watch that Check has given up.
 var errChecked = errors.New("the store is checked")
 
+// errUnanswered is the reason of an outage that a listing has detected.
+var errUnanswered = errors.New("the store does not begin to answer a listing")
+
 // Check gives up the current watch for a call that the store answers at once. It is called when another call of the store has failed, so
 // that an outage is noticed before the end of a long watch.
 func (flw *Follower) Check() {
@@ -168,6 +171,9 @@
 		case chs := <-flw.peer:
 			tmr.Stop()
 			flw.applyEarly(chs)
+		case <-flw.unanswered:
+			tmr.Stop()
+			flw.beginOutage(errUnanswered)
 		case <-tmr.C():
 			flw.purge()
 		}
@@ -196,10 +202,13 @@
 
 func (flw *Follower) fetch(ctx context.Context) (fre fetchResult) {
 	if !flw.listed {
-		patience := flw.listPatience
-		flw.listPatience = min(listPatienceMax, 2*patience)
 		fre.listing = true
-		fre.chs, fre.revision, fre.err = flw.cfg.Registry.List(ctx, patience)
+		fre.chs, fre.revision, fre.err = flw.cfg.Registry.List(ctx, listPatience, func() {
+			select {
+			case flw.unanswered <- struct{}{}:
+			case <-ctx.Done():
+			}
+		})
 		return fre
 	}
 	wait := min(watchMax, max(watchMin, watchPerVM*time.Duration(len(flw.View().vms))))
@@ -237,7 +246,6 @@
 		flw.recordResponse(flw.View().Revision)
 		flw.cfg.Log.Warn("store history lost", zap.Int64("after", lost.After), zap.NamedError("reason", lost.Err))
 		flw.listed = false
-		flw.listPatience = listPatienceMax
 		return
 	}
 	if fre.err != nil {
@@ -284,15 +292,20 @@
 	if ctx.Err() != nil {
 		return
 	}
+	flw.beginOutage(err)
+	_ = cardamompass.Sleep(ctx, flw.cfg.Clock, flw.retryPause) // run notices the end of ctx
+	flw.retryPause = min(2*flw.retryPause, retryMax)
+}
+
+// beginOutage records that the store does not answer.
+func (flw *Follower) beginOutage(err error) {
 	if flw.outage.Ongoing {
 		flw.cfg.Log.Info("store still lost", zap.Error(err), zap.Duration("age", flw.StoreAge()))
-	} else {
-		flw.cfg.Log.Warn("store lost", zap.Error(err), zap.Duration("age", flw.StoreAge()))
-		flw.outageSince.Store(flw.cfg.Clock.Now().UnixNano())
+		return
 	}
+	flw.cfg.Log.Warn("store lost", zap.Error(err), zap.Duration("age", flw.StoreAge()))
+	flw.outageSince.Store(flw.cfg.Clock.Now().UnixNano())
 	flw.outage.Ongoing = true
-	_ = cardamompass.Sleep(ctx, flw.cfg.Clock, flw.retryPause) // run notices the end of ctx
-	flw.retryPause = min(2*flw.retryPause, retryMax)
 }
 
 func (flw *Follower) publish(next *View) {
--- a/internal/fleet/view/purge_test.go
+++ b/internal/fleet/view/purge_test.go
@@ -19,7 +19,7 @@
 	calls atomic.Int64
 }
 
-func (reg *busyRegistry) List(context.Context, time.Duration) (chs []cardamompass.Change, revision int64, err error) {
+func (reg *busyRegistry) List(context.Context, time.Duration, func()) (chs []cardamompass.Change, revision int64, err error) {
 	return []cardamompass.Change{instance("i-1"), instance("i-2")}, 1, nil
 }
 
@@ -44,7 +44,7 @@
 
 const slowListing = view.ReregisterTime - 300*time.Millisecond
 
-func (reg *compactedRegistry) List(context.Context, time.Duration) (chs []cardamompass.Change, revision int64, err error) {
+func (reg *compactedRegistry) List(context.Context, time.Duration, func()) (chs []cardamompass.Change, revision int64, err error) {
 	if reg.lists.Add(1) == 1 {
 		return []cardamompass.Change{instance("i-1"), instance("i-2")}, 1, nil
 	}
--- /dev/null
+++ b/internal/fleet/view/silent_test.go
@@ -0,0 +1,66 @@
+package view_test
+
+import (
+	"testing"
+	"time"
+
+	"cardamompass/internal/stand/pstore"
+)
+
+// loseHistory makes the store discard a change that the follower has not read, and then leave listings without an answer.
+func loseHistory(sto *pstore.Store) {
+	sto.SetFaults(pstore.Faults{Outage: true})
+	sto.Put("op/evacuate/z-2", 1)
+	sto.Compact()
+	sto.SetFaults(pstore.Faults{SilentPath: "/v1/kv-range"})
+}
+
+// Guards against a listing that waits 10 s for its answer because the store got it while it was silent, although the store serves again.
+// review/7 broke CONFIG, DRAIN and HOME with it.
+func TestListingDuringSilence(t *testing.T) {
+	tests := []struct {
+		name    string
+		silence time.Duration
+	}{
+		{"short silence", 0},
+		{"silence of several listings", 4 * time.Second},
+	}
+	for _, tst := range tests {
+		t.Run(tst.name, func(t *testing.T) {
+			t.Parallel()
+			sto, flw := follow(t)
+			sto.Put("op/config", map[string]any{"version": "00000001"})
+			waitFor(t, changeBound, "first table", func() bool { return flw.View().Table != nil })
+			loseHistory(sto)
+			waitFor(t, changeBound, "listing", func() bool { return sto.Silenced() > 0 })
+			time.Sleep(tst.silence)
+			sto.SetFaults(pstore.Faults{})
+			sto.Put("op/evacuate/z-1", 1)
+			waitFor(t, changeBound, "change", func() bool { return flw.View().Evacuated("z-1") })
+		})
+	}
+}
+
+// Guards against a VM that starts while the store comes and goes, and is still waiting for a listing of the last silence when the store
+// serves: review/8 broke RECOVER with it.
+func TestStartDuringSilences(t *testing.T) {
+	slf := newSlowFollower(t)
+	slf.configure(1, 1)
+	slf.sto.SetFaults(pstore.Faults{NoReply: true})
+	slf.start()
+	time.Sleep(6 * time.Second)
+	slf.sto.SetFaults(pstore.Faults{})
+	waitFor(t, changeBound, "first table", func() bool { return slf.View().Table != nil })
+}
+
+// Guards against a store that counts as answering while it leaves a listing unanswered: the VM then asks no other one for newer routing
+// tables.
+func TestUnansweredListingIsAnOutage(t *testing.T) {
+	sto, flw := follow(t)
+	sto.Put("op/config", map[string]any{"version": "00000001"})
+	waitFor(t, changeBound, "first table", func() bool { return flw.View().Table != nil })
+	loseHistory(sto)
+	waitFor(t, changeBound, "outage", func() bool { return flw.OutageAge() > 0 })
+	sto.SetFaults(pstore.Faults{})
+	waitFor(t, changeBound, "end of the outage", func() bool { return flw.OutageAge() == 0 })
+}
--- a/internal/stand/pstore/handlers.go
+++ b/internal/stand/pstore/handlers.go
@@ -188,7 +188,8 @@
 		wrt.WriteHeader(http.StatusNotFound)
 		return
 	}
-	lse.expiresAt = time.Now().Add(lse.ttl)
+	sto.renewed = time.Now()
+	lse.expiresAt = sto.renewed.Add(lse.ttl)
 	ctrl.WriteJSON(wrt, http.StatusOK, map[string]any{
 		"ttlS_time": lse.ttl.Seconds(),
 	})
--- a/internal/stand/pstore/pstore.go
+++ b/internal/stand/pstore/pstore.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -31,6 +32,8 @@
 	Outage bool
 	// NoReply leaves calls without a reply until the caller disconnects.
 	NoReply bool
+	// SilentPath leaves the calls of one path without a reply until the caller disconnects; empty for none.
+	SilentPath string
 	// RefusedIPs lists the IP addresses of callers whose calls get 503.
 	RefusedIPs []string
 	// LoseWriteReplies applies writes and closes the connection without a reply.
@@ -73,6 +76,8 @@
 	faults       Faults
 	changed      chan struct{}
 	address      string
+	silenced     atomic.Int64 // calls left without a reply
+	renewed      time.Time    // time of the last renewal of a lease
 }
 
 // New starts a store on an address and returns the function that stops it. Port 0 selects a free port.
@@ -110,6 +115,16 @@
 // Address returns the host:port of the store.
 func (sto *Store) Address() (address string) { return sto.address }
 
+// Silenced returns the number of calls that were left without a reply.
+func (sto *Store) Silenced() (count int) { return int(sto.silenced.Load()) }
+
+// LastRenewal returns the time of the last renewal of a lease; zero if there was none.
+func (sto *Store) LastRenewal() (tim time.Time) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	return sto.renewed
+}
+
 // SetFaults replaces the injected faults. An outage ends waiting watches.
 func (sto *Store) SetFaults(flt Faults) {
 	sto.mu.Lock()
@@ -237,7 +252,8 @@
 		switch {
 		case flt.Outage:
 			ctrl.Abort()
-		case flt.NoReply:
+		case flt.NoReply || (flt.SilentPath != "" && flt.SilentPath == req.URL.Path):
+			sto.silenced.Add(1)
 			<-req.Context().Done()
 			ctrl.Abort()
 		case slices.Contains(flt.RefusedIPs, host):
--- a/registry.go
+++ b/registry.go
@@ -72,8 +72,10 @@
 // Registry is the platform's store as an entry VM uses it. Implementations are safe for concurrent use.
 type Registry interface {
 	// List returns the content of the store as changes, and the revision from which Watch continues. It fails if the store does not
-	// begin to answer within patience. Once it does, a listing may take as long as it needs.
-	List(ctx context.Context, patience time.Duration) (chs []Change, revision int64, err error)
+	// begin to answer within patience. Once it does, a listing may take as long as it needs. While it does not, the listing is repeated each
+	// second beside the earlier calls, since the store never answers a call that it has received while it was silent. unanswered is called
+	// at the first repetition.
+	List(ctx context.Context, patience time.Duration, unanswered func()) (chs []Change, revision int64, err error)
 	// Watch waits up to wait for changes after a revision and returns them with the revision from which to continue. Reading them may
 	// take longer: early is then called with those that have arrived, in order, while the others are read, and chs contains them again.
 	// After a HistoryLostError, the caller must call List again.
