mirror: a VM that does not answer is given up after a second without progress

What callers saw: by the test; a VM that the store turns away went on serving by an old configuration, and accepted keys that had been taken away. A VM asks one other VM after the other for a newer routing table, and waited 3 s for each. Two that were lost or stand still use up the 8 s that are allowed, of which the detection of the outage takes 2.2 s. Change: the time without progress is limited to 1 s, for the connection, until the answer and between two parts of it, with package stall. The whole time of an answer is limited by the VM that gives it, as before. Test: mirror: TestPeersThatDoNotAnswer failed on: not within 6 s.

--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
@@ -22,6 +23,7 @@
 
 	"cardamompass"
 	"cardamompass/internal/fleet/view"
+	"cardamompass/internal/plat/stall"
 )
 
 const (
@@ -29,7 +31,10 @@
 	askInterval = 500 * time.Millisecond
 	// minOutage is the time without the store after which a VM asks others. Most calls that fail are answered when repeated.
 	minOutage = time.Second
-	// callTimeout bounds a call. A configuration of 1 MB takes 1 s at 10 Mbit/s when it can't be compressed.
+	// askPatience is how long another VM may take to accept the connection, and between two parts of its answer. One that was lost or
+	// stands still must not use up the time within which a change must be known, since others have to be asked after it.
+	askPatience = time.Second
+	// callTimeout bounds a call at the VM that answers it, and the time until an answer is applied. A configuration of 1 MB takes 1 s at 10 Mbit/s when it can't be compressed.
 	callTimeout = 3 * time.Second
 	// maxConnections bounds the calls that are served at a time. A VM asks one other VM at a time, so that more are rare.
 	maxConnections = 16
@@ -200,14 +205,20 @@
 
 // ask asks a VM for what it knows beyond this one, and applies it.
 func (mir *Mirror) ask(ctx context.Context, vmc cardamompass.VM) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	con, err := mir.cfg.Dial(ctx, "tcp4", vmc.PeerAddress)
+	actx, wdg, stop := stall.New(ctx, stall.Config{
+		First: askPatience,
+		Gap:   askPatience,
+	})
+	defer stop()
+	con, err := mir.cfg.Dial(actx, "tcp4", vmc.PeerAddress)
 	if err != nil {
 		return err
 	}
-	clt := rpc.NewClient(con)
-	defer clt.Close() //nolint:errcheck // ends a call that has timed out
+	clt := rpc.NewClient(progressConn{
+		Conn: con,
+		src:  wdg.Reader(con),
+	})
+	defer clt.Close() //nolint:errcheck // ends a call that has stalled
 	vew := mir.cfg.View()
 	que := Question{
 		Version: vew.Table.Version,
@@ -216,8 +227,8 @@
 	select {
 	case cal := <-clt.Go(method, que, &ans, make(chan *rpc.Call, 1)).Done:
 		err = cal.Error
-	case <-ctx.Done():
-		err = ctx.Err()
+	case <-actx.Done():
+		err = context.Cause(actx)
 	}
 	if err != nil {
 		return err
@@ -225,7 +236,18 @@
 	return mir.apply(ctx, vmc, ans)
 }
 
+// progressConn is a connection whose reads are observed.
+type progressConn struct {
+	net.Conn
+	src io.Reader
+}
+
+// Read implements io.Reader.
+func (con progressConn) Read(buf []byte) (num int, err error) { return con.src.Read(buf) }
+
 func (mir *Mirror) apply(ctx context.Context, vmc cardamompass.VM, ans Answer) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	if len(ans.Table) == 0 {
 		return nil
 	}
--- a/internal/fleet/mirror/mirror_test.go
+++ b/internal/fleet/mirror/mirror_test.go
@@ -146,6 +146,40 @@
 	}
 }
 
+// Guards against a VM that learns of a change too late, because the VMs that it asks first were lost or stand still, and each question waits
+// 3 s for its answer.
+func TestPeersThatDoNotAnswer(t *testing.T) {
+	sto, stopStore, err := pstore.New("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stopStore)
+	configure(sto, 1)
+	served := newVM(t, sto, func() []cardamompass.VM { return nil })
+	lsn, err := net.Listen("tcp4", "127.0.0.1:0") //nolint:noctx // closed with the test
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lsn.Close() })
+	addresses := []string{lsn.Addr().String(), lsn.Addr().String(), served.mir.Address()}
+	refused := newVM(t, sto, func() []cardamompass.VM {
+		address := addresses[0]
+		if len(addresses) > 1 {
+			addresses = addresses[1:]
+		}
+		return []cardamompass.VM{{
+			ID:          "other",
+			PeerAddress: address,
+		}}
+	})
+	for _, vmc := range []*vm{served, refused} {
+		waitFor(t, "version 1", func() bool { return vmc.View().Table != nil })
+	}
+	refused.link.Cut()
+	configure(sto, 2)
+	waitFor(t, "version 2", func() bool { return refused.View().Table.Version == 2 })
+}
+
 // closedAddress returns an address at which nothing listens.
 func closedAddress(t *testing.T) (address string) {
 	t.Helper()
