crash, front: only an answer that its target has survived clears content, and only of earlier crashes

Other callers' requests at these targets were lost. Cause: each complete response, a 500 or a 503 too, marked a content that had a known crash as harmless, and nothing ended that. A target that fails requests does so before it gets to the part that crashes it. Change: package crash decides. A response clears content if its status is below 500 and does not mean that the request has not run, and only of the crashes that were known then. Crashes that a VM has seen itself count before their reports are read. The check is repeated before each further attempt and after a wait. Why this works: an error of a target shows nothing about the content, and an answer nothing about crashes that come later. Related path: retries and hedges of a request that is known to crash targets since its first attempt were sent. Tests: front: TestErrorDoesNotClearContent, TestAnswerClearsEarlierCrashes and TestRetryOfContentThatCrashes failed on. The bounds of TestCrashCount are unchanged; the count moved from view to crash.

--- a/internal/edge/front/crash.go
+++ b/internal/edge/front/crash.go
@@ -11,21 +11,19 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cardamompass"
-	"cardamompass/internal/fleet/view"
+	"cardamompass/internal/steer/crash"
 )
 
 const (
-	// crashLimit is the number of crashes after which requests with the same content are refused. One or two crashes can
-	// be coincidence, because other requests are in flight at an instance that crashes.
-	crashLimit = 3
 	// crashCheckDelay is the time between the break of a connection and the check whether the target still listens.
 	crashCheckDelay = 20 * time.Millisecond
 	// crashCheckTimeout bounds the connection attempt of that check.
 	crashCheckTimeout = 300 * time.Millisecond
-	// maxHarmless bounds the number of fingerprints in Front.harmless.
-	maxHarmless = 10000
 )
 
+// errCrashes refuses a request whose content crashes targets.
+var errCrashes = errors.New("requests with this content crash targets")
+
 // fingerprint identifies the content of a request. The request id is not part of it, because a caller that sends the same content
 // again uses another id.
 func fingerprint(req *http.Request, inf cardamompass.RequestInfo, body []byte) (text string) {
@@ -37,28 +35,30 @@
 	return hex.EncodeToString(dgs.Sum(nil))
 }
 
-// blocked reports whether requests with this content are refused: instances crashed on them at least crashLimit times and no target
-// has answered one since.
-func (frt *Front) blocked(vew *view.View, content string) (ok bool) {
-	if vew.Crashes(content) < crashLimit {
-		return false
+// refusesContent reports whether requests with this content are refused, because targets crash on it.
+func (frt *Front) refusesContent(content string) (ok bool) {
+	tries := func() bool { return frt.cfg.TriesSuspects(content) }
+	return frt.crashes.Refused(content, frt.cfg.View().CrashReports(content), tries, frt.cfg.Clock.Now())
+}
+
+// checkContentAgain repeats the check directly before a request is sent that was held up by an earlier attempt or a wait: the content may be
+// known to crash targets since.
+func (dsp *dispatch) checkContentAgain() (err error) {
+	frt := dsp.exc.frt
+	if frt.crashes.Refused(dsp.fingerprint, frt.cfg.View().CrashReports(dsp.fingerprint), nil, frt.cfg.Clock.Now()) {
+		return errCrashes
 	}
-	frt.mu.Lock()
-	defer frt.mu.Unlock()
-	return !frt.harmless[content]
+	return nil
 }
 
-// markHarmless records that a target answered a request whose content is known to have crashed instances.
-func (frt *Front) markHarmless(vew *view.View, content string) {
-	if vew.Crashes(content) == 0 {
+// noteSurvived records that a target has answered a request with the status.
+func (frt *Front) noteSurvived(content string, status int) {
+	if !crash.Survived(status) {
 		return
 	}
-	frt.mu.Lock()
-	defer frt.mu.Unlock()
-	if len(frt.harmless) >= maxHarmless {
-		clear(frt.harmless)
+	for _, crs := range frt.crashes.Survived(content, frt.cfg.View().CrashReports(content)) {
+		frt.cfg.OnCrashWithdrawn(crs)
 	}
-	frt.harmless[content] = true
 }
 
 // checkCrash reports a crash if nothing listens any more at the address of an instance whose connection broke. It does not block.
@@ -74,11 +74,13 @@
 			return
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			frt.cfg.OnCrash(cardamompass.Crash{
+			crs := cardamompass.Crash{
 				Fingerprint: content,
 				Instance:    ins.ID,
 				StartMillis: ins.StartMillis,
-			})
+			}
+			frt.crashes.Crashed(crs)
+			frt.cfg.OnCrash(crs)
 		}
 	})
 }
--- a/internal/edge/front/dispatch.go
+++ b/internal/edge/front/dispatch.go
@@ -161,6 +161,11 @@
 	if err = dsp.exc.checkAgain(); err != nil {
 		return nil, err
 	}
+	if len(dsp.tried) > 0 {
+		if err = dsp.checkContentAgain(); err != nil {
+			return nil, err
+		}
+	}
 	if !second {
 		if err = dsp.takeToken(); err != nil {
 			return nil, err
@@ -220,6 +225,11 @@
 	if err = dsp.exc.checkAgain(); err != nil {
 		return err
 	}
+	if dsp.exc.waited > 0 {
+		if err = dsp.checkContentAgain(); err != nil {
+			return err
+		}
+	}
 	if !dsp.exc.team.AllowsRegion(chc.Instance.Region) {
 		return dsp.noTarget(place.Choice{
 			Rejected: place.Rejected{
@@ -257,7 +267,7 @@
 	if atm.err == nil {
 		dsp.sent++
 		dsp.mayHaveRun = true
-		dsp.exc.frt.markHarmless(dsp.exc.vew, dsp.fingerprint)
+		dsp.exc.frt.noteSurvived(dsp.fingerprint, atm.rep.Status)
 		dsp.exc.frt.medianLatency(dsp.exc.route, dsp.exc.frt.cfg.Clock.Now().Sub(atm.start))
 		if atm.rep.Status < http.StatusInternalServerError && !impliesNotRun(atm.rep.Status) {
 			dsp.hedging.winner = atm
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -29,6 +29,7 @@
 	"cardamompass/internal/edge/send"
 	"cardamompass/internal/fleet/view"
 	"cardamompass/internal/steer/budget"
+	"cardamompass/internal/steer/crash"
 	"cardamompass/internal/steer/place"
 )
 
@@ -62,6 +63,12 @@
 	// OnCrash is called with the content of a request that was in flight at an instance when the instance crashed. It must not
 	// block.
 	OnCrash func(crs cardamompass.Crash)
+	// OnCrashWithdrawn is called with a reported crash whose content a target has survived since, so that no VM must refuse the content because
+	// of it. It must not block. Optional.
+	OnCrashWithdrawn func(crs cardamompass.Crash)
+	// TriesSuspects reports whether this VM is the one that lets a request with refused content through from time to time. Optional; without
+	// it none is.
+	TriesSuspects func(fingerprint string) (ok bool)
 	// Dial opens connections to targets, to check whether they listen.
 	Dial func(ctx context.Context, network, address string) (con net.Conn, err error)
 	// Bodies is the memory for the bodies of requests. Optional.
@@ -88,7 +95,7 @@
 	budgets     map[cardamompass.ServiceName]*budget.Budget
 	splits      map[string]*split
 	medians     map[string]time.Duration // estimated median latency by host and prefix of the route
-	harmless    map[string]bool          // fingerprints of content that crashed instances but was answered since
+	crashes     *crash.Guard
 	crashChecks sync.WaitGroup
 	hedges      *hedges
 }
@@ -98,6 +105,12 @@
 	if cfg.OnLeaving == nil {
 		cfg.OnLeaving = func(cardamompass.Instance) {}
 	}
+	if cfg.OnCrashWithdrawn == nil {
+		cfg.OnCrashWithdrawn = func(cardamompass.Crash) {}
+	}
+	if cfg.TriesSuspects == nil {
+		cfg.TriesSuspects = func(string) bool { return false }
+	}
 	if cfg.Steering == nil {
 		cfg.Steering = func() (set steer.Settings) { return set }
 	}
@@ -105,13 +118,13 @@
 		cfg.Bodies = buffer.New(buffer.Config{})
 	}
 	frt = &Front{
-		cfg:      cfg,
-		met:      newMetrics(cfg.Scope),
-		budgets:  make(map[cardamompass.ServiceName]*budget.Budget),
-		splits:   make(map[string]*split),
-		medians:  make(map[string]time.Duration),
-		harmless: make(map[string]bool),
-		hedges:   newHedges(),
+		cfg:     cfg,
+		met:     newMetrics(cfg.Scope),
+		budgets: make(map[cardamompass.ServiceName]*budget.Budget),
+		splits:  make(map[string]*split),
+		medians: make(map[string]time.Duration),
+		crashes: crash.New(),
+		hedges:  newHedges(),
 	}
 	frt.waits = newWaitRoom(frt)
 	return frt, func() {
@@ -243,8 +256,8 @@
 			percent: exc.frt.cfg.Steering().HedgeLimitPercent,
 		},
 	}
-	if exc.frt.blocked(exc.vew, dsp.fingerprint) {
-		exc.refuse("requests with this content crash targets")
+	if exc.frt.refusesContent(dsp.fingerprint) {
+		exc.refuse(errCrashes.Error())
 		return
 	}
 	ctx := exc.req.Context()
--- a/internal/edge/front/front_test.go
+++ b/internal/edge/front/front_test.go
@@ -557,6 +557,66 @@
 	}
 }
 
+// Guards against content that crashes targets and is never refused again because a target in trouble answered it once without running it:
+// review/9 broke BUDGET with up to 21 late retries.
+func TestErrorDoesNotClearContent(t *testing.T) {
+	for _, flt := range []ptarg.Fault{ptarg.FaultError, ptarg.FaultFalse503, ptarg.FaultShed} {
+		t.Run(string(flt), func(t *testing.T) {
+			fxt := newFixture(t, 1)
+			content := fxt.reportCrashes("/write/a", 0, 2)
+			fxt.set(flt)
+			fxt.send("/write/a", "r-1")
+			fxt.set(ptarg.FaultNone)
+			runs := fxt.runs()
+			fxt.crashed(cardamompass.Crash{
+				Fingerprint: content,
+				Instance:    "crashed-2",
+			})
+			if status, _, _ := fxt.send("/write/a", "r-1"); status != 503 || fxt.runs() != runs {
+				t.Errorf("after 3 crashes: status %d, %d more runs", status, fxt.runs()-runs)
+			}
+		})
+	}
+}
+
+// Guards against an answer that clears content of crashes that come later: a content may crash only some of its runs.
+func TestAnswerClearsEarlierCrashes(t *testing.T) {
+	fxt := newFixture(t, 1)
+	fxt.reportCrashes("/write/a", 0, 2)
+	for _, want := range []int{200, 503} {
+		if status, _, _ := fxt.send("/write/a", "r-1"); status != want {
+			t.Fatalf("status %d, want %d", status, want)
+		}
+		fxt.reportCrashes("/write/a", 2, 5)
+	}
+}
+
+// Guards against a second attempt of a request that is known to crash targets since its first one.
+func TestRetryOfContentThatCrashes(t *testing.T) {
+	fxt := newFixture(t, 2)
+	fxt.set(ptarg.FaultReset)
+	fxt.onDial = func() {
+		fxt.onDial = nil
+		fxt.reportCrashes("/read/a", 0, 3)
+	}
+	if status, _, _ := fxt.send("/read/a", "r-1"); status != 502 || fxt.runs() != 1 {
+		t.Fatalf("status %d, %d runs", status, fxt.runs())
+	}
+}
+
+// reportCrashes reports the crashes with the numbers from to until of the content of request r-1 to a path, and returns its fingerprint.
+func (fxt *fixture) reportCrashes(path string, from, until int) (content string) {
+	fxt.t.Helper()
+	content = fxt.front.Fingerprint(fxt.request(fxt.t.Context(), path, "r-1"), []byte("body of r-1"))
+	for num := from; num < until; num++ {
+		fxt.crashed(cardamompass.Crash{
+			Fingerprint: content,
+			Instance:    cardamompass.InstanceID(fmt.Sprint("crashed-", num)),
+		})
+	}
+	return content
+}
+
 // Guards against new requests that keep a VM from stopping, and against callers that stay connected to a VM that stops.
 func TestStop(t *testing.T) {
 	fxt := newFixture(t, 1)
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cardamompass"
+	"cardamompass/internal/steer/crash"
 )
 
 // Outage describes the latest period in which the store did not respond.
@@ -38,7 +39,7 @@
 	evacuated    map[cardamompass.FailureDomain]bool
 	vms          map[cardamompass.VMID]cardamompass.VM
 	crashes      map[cardamompass.Crash]bool
-	crashCounts  map[string]int // number of crashes by fingerprint
+	crashesOf    map[string][]cardamompass.Crash // by fingerprint
 	byService    map[cardamompass.ServiceName][]cardamompass.Instance
 	sortedVMs    []cardamompass.VM // vms sorted by id
 }
@@ -76,7 +77,14 @@
 
 // Crashes returns the number of times that an instance crashed while a request with this fingerprint was in flight there. Instances that
 // crashed after different starts count for each of them.
-func (vew *View) Crashes(fingerprint string) (count int) { return vew.crashCounts[fingerprint] }
+func (vew *View) Crashes(fingerprint string) (count int) {
+	return crash.Count(vew.crashesOf[fingerprint])
+}
+
+// CrashReports returns the reported crashes of requests with this fingerprint. Callers must not modify the result.
+func (vew *View) CrashReports(fingerprint string) (list []cardamompass.Crash) {
+	return vew.crashesOf[fingerprint]
+}
 
 // WithChanges returns the view after changes, applied in order. now is the time at which they were received.
 func (vew *View) WithChanges(chs []cardamompass.Change, revision int64, out Outage, now time.Time) (next *View) {
@@ -211,30 +219,13 @@
 	vew.sortedVMs = slices.SortedFunc(maps.Values(vew.vms), func(one, two cardamompass.VM) int {
 		return strings.Compare(string(one.ID), string(two.ID))
 	})
-	vew.crashCounts = countCrashes(vew.crashes)
+	vew.crashesOf = make(map[string][]cardamompass.Crash)
+	for crs := range vew.crashes {
+		vew.crashesOf[crs.Fingerprint] = append(vew.crashesOf[crs.Fingerprint], crs)
+	}
 	for _, list := range vew.byService {
 		slices.SortFunc(list, func(one, two cardamompass.Instance) int {
 			return strings.Compare(string(one.ID), string(two.ID))
 		})
 	}
 }
-
-// countCrashes returns the number of crashes by fingerprint. VMs of an earlier version report no start; such a report may be that of a
-// crash which another VM has reported with its start, and counts only if there is none.
-func countCrashes(crashes map[cardamompass.Crash]bool) (counts map[string]int) {
-	counts = make(map[string]int)
-	started := make(map[cardamompass.Crash]bool)
-	for crs := range crashes {
-		if crs.StartMillis != 0 {
-			counts[crs.Fingerprint]++
-			crs.StartMillis = 0
-			started[crs] = true
-		}
-	}
-	for crs := range crashes {
-		if crs.StartMillis == 0 && !started[crs] {
-			counts[crs.Fingerprint]++
-		}
-	}
-	return counts
-}
