engine, guard: an error of a target clears no suspect

The engine reported each complete response as a success to the guard, whatever its status. Change: a response that does not show that the target has survived the request ends the run without clearing the suspect, as one without a response does. Test: engine: TestErrorClearsNoSuspect failed on: no suspect was left after a 500.

--- a/internal/edge/engine/attempt.go
+++ b/internal/edge/engine/attempt.go
@@ -12,6 +12,7 @@
 	"cardamompass"
 	"cardamompass/internal/edge/relay"
 	"cardamompass/internal/fleet/share"
+	"cardamompass/internal/steer/crash"
 	"cardamompass/internal/steer/guard"
 	"cardamompass/internal/steer/health"
 )
@@ -59,11 +60,11 @@
 	case rqt.sta.svc.Class == cardamompass.ClassLong:
 		rst.ans.Body = &claimBody{
 			ReadCloser: rst.ans.Body,
-			onClose:    func(complete bool) { rqt.completed(clm, complete) },
+			onClose:    func(complete bool) { rqt.completed(clm, rst.ans.Status, complete) },
 		}
 		rst.bodyOpen = true
 	default:
-		rqt.completed(clm, true)
+		rqt.completed(clm, rst.ans.Status, true)
 	}
 	return rst
 }
@@ -73,14 +74,19 @@
 		strconv.FormatUint(eng.attempts.Add(1), 36)
 }
 
-// completed finishes a claim whose response body was read or closed.
-func (rqt *request) completed(clm *claim, complete bool) {
+// completed finishes a claim whose response, with the status, was read or closed.
+func (rqt *request) completed(clm *claim, status int, complete bool) {
 	eng := rqt.eng
 	if !complete {
 		eng.cfg.Guard.Ended(rqt.key, clm.target.ID, eng.cfg.Clock.Now())
 		rqt.finish(clm, health.Cancelled)
 		return
 	}
+	if !crash.Survived(status) {
+		eng.cfg.Guard.Ended(rqt.key, clm.target.ID, eng.cfg.Clock.Now())
+		rqt.finish(clm, health.Answered)
+		return
+	}
 	rep := eng.cfg.Guard.Succeeded(rqt.key, clm.target.ID, eng.cfg.Clock.Now())
 	rqt.finish(clm, health.Answered)
 	if !rep.Empty() {
--- a/internal/edge/engine/engine_test.go
+++ b/internal/edge/engine/engine_test.go
@@ -38,6 +38,7 @@
 	eng     *engine.Engine
 	targets []*target.Target
 	recent  *dump.DecisionLog
+	guard   *guard.Guard
 	class   cardamompass.Class
 }
 
@@ -89,12 +90,13 @@
 			Connections:   100,
 		}))
 	}
-	fxt.eng = newEngine(t, fxt.recent)
+	fxt.guard = guard.New(guard.Config{Self: "vm-1", Incarnation: 1})
+	fxt.eng = newEngine(t, fxt.recent, fxt.guard)
 	fxt.eng.SetCatalogue(catlg.NewCatalogue(doc))
 	return fxt
 }
 
-func newEngine(t *testing.T, recent *dump.DecisionLog) *engine.Engine {
+func newEngine(t *testing.T, recent *dump.DecisionLog, grd *guard.Guard) *engine.Engine {
 	t.Helper()
 	self := cardamompass.VM{
 		ID:          "vm-1",
@@ -150,7 +152,7 @@
 		Scope:        tally.NoopScope,
 		Relay:        rly,
 		Tracker:      health.New(health.Config{Self: self.ID}),
-		Guard:        guard.New(guard.Config{Self: self.ID, Incarnation: 1}),
+		Guard:        grd,
 		Pool:         pol,
 		Report:       func(context.Context, guard.Report) {},
 		Recent:       recent,
@@ -220,6 +222,30 @@
 	}
 }
 
+// Guards against content that crashes targets and is no suspect any more because a target had an error before it ran the content.
+func TestErrorClearsNoSuspect(t *testing.T) {
+	fxt := newFixture(t, cardamompass.ClassShort, 2)
+	key := guard.KeyOf(&cardamompass.Request{
+		Service: "svc",
+		Method:  http.MethodPost,
+		Path:    "/r",
+	})
+	now := time.Now()
+	fxt.guard.Admit(key, "other", now)
+	fxt.guard.Crashed("other", now, now)
+	fxt.targets[0].InjectFaults(target.FaultError, 1)
+	for _, suspects := range []int{1, 0} { // after an error and after a proper response
+		ans, err := fxt.execute(t, "r", true, 5*time.Second, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = ans.Body.Close()
+		if ents := fxt.guard.Entries(time.Now()); len(ents) != suspects {
+			t.Errorf("after status %d: suspects %+v, want %d", ans.Status, ents, suspects)
+		}
+	}
+}
+
 // Guards against failing a non-idempotent request, or reporting its outcome as unknown, because the first target shed it.
 func TestShedOperationRunsElsewhere(t *testing.T) {
 	fxt := newFixture(t, cardamompass.ClassShort, 1, 1)
--- a/internal/stand/target/response.go
+++ b/internal/stand/target/response.go
@@ -29,6 +29,8 @@
 	FaultDuplicated Fault = "doubled"
 	// FaultTooLong sends more bytes than declared.
 	FaultTooLong Fault = "too-long"
+	// FaultError responds with status 500.
+	FaultError Fault = "error"
 )
 
 // surplus is what FaultTooLong appends to the body.
@@ -66,6 +68,9 @@
 		rsw = &truncWriter{
 			ResponseWriter: rsw,
 		}
+	case FaultError:
+		rsw.WriteHeader(http.StatusInternalServerError)
+		return
 	case FaultDuplicated, FaultTooLong:
 		tgt.hijack(rsw, jbb, flt, free)
 		return
--- a/internal/steer/guard/guard.go
+++ b/internal/steer/guard/guard.go
@@ -1,7 +1,8 @@
 // Package guard detects requests whose content crashes the targets that run them, and refuses such requests.
 //
 // Model: when a target crashes, every content in flight on it becomes a suspect. A suspect runs only on a target without
-// another suspect in flight from this VM, and one copy at a time. A response clears the suspect. When the target of such
+// another suspect in flight from this VM, and one copy at a time. A response clears the suspect if it shows that the target
+// has survived the request. When the target of such
 // a run crashes, the suspect is blocked for 10 minutes. Each crash yields a Report, which must reach the other VMs before
 // the caller gets the outcome.
 //
@@ -173,15 +174,15 @@
 	return grd.sta.admit(key, tid, now)
 }
 
-// Succeeded ends a run with a response of the target, whatever its status. Call Ended instead for a shed request, which the
-// target did not run. The report is empty unless the content was a suspect.
+// Succeeded ends a run with a response that shows that the target has survived the request. Call Ended instead for an error of
+// the target, which may have come before the part of the work that crashes it, and for a shed request, which did not run. The report is empty unless the content was a suspect.
 func (grd *Guard) Succeeded(key Key, tid cardamompass.TargetID, now time.Time) (rep Report) {
 	grd.mut.Lock()
 	defer grd.mut.Unlock()
 	return grd.sta.succeeded(key, tid, now)
 }
 
-// Ended ends a run without a response: it was shed, cancelled or timed out, or its connection broke. For another 2 s it
+// Ended ends a run that shows nothing: it was shed, cancelled or timed out, its connection broke, or the target had an error. For another 2 s it
 // counts as in flight if the target crashes.
 func (grd *Guard) Ended(key Key, tid cardamompass.TargetID, now time.Time) {
 	grd.mut.Lock()
