--- a/internal/fleet/mirror/mirror.go
+++ b/internal/fleet/mirror/mirror.go
@@ -34,7 +34,8 @@
 	// askPatience is how long another VM may take to accept the connection, and between two parts of its answer. One that was lost or
 	// stands still must not use up the time within which a change must be known, since others have to be asked after it.
 	askPatience = time.Second
-	// callTimeout bounds a call at the VM that answers it, and the time until an answer is applied. A configuration of 1 MB takes 1 s at 10 Mbit/s when it can't be compressed.
+	// callTimeout bounds a call at the VM that answers it, and the time until an answer is applied. A configuration of 1 MB takes 1 s at
+	// 10 Mbit/s when it can't be compressed.
 	callTimeout = 3 * time.Second
 	// maxConnections bounds the calls that are served at a time. A VM asks one other VM at a time, so that more are rare.
 	maxConnections = 16
