crash: crashes that a VM has seen count for ten minutes at most without their reports

What callers saw: by the test; found by reading the change. A VM that saw three crashes of a content and got no request with it until the reports had lapsed refused the content for good, except for three trials. Cause: own crashes were dropped only when a request found their reports. Change: they end after the time for which reports hold. Test: crash: TestOwnCrashesEnd. Also: users: TestShortSilenceOfTheStore no longer failed without the renewal that is made with a long watch, since watches last 2.5 s.

--- a/internal/edge/front/crash.go
+++ b/internal/edge/front/crash.go
@@ -56,7 +56,7 @@
 	if !crash.Survived(status) {
 		return
 	}
-	for _, crs := range frt.crashes.Survived(content, frt.cfg.View().CrashReports(content)) {
+	for _, crs := range frt.crashes.Survived(content, frt.cfg.View().CrashReports(content), frt.cfg.Clock.Now()) {
 		frt.cfg.OnCrashWithdrawn(crs)
 	}
 }
@@ -79,7 +79,7 @@
 				Instance:    ins.ID,
 				StartMillis: ins.StartMillis,
 			}
-			frt.crashes.Crashed(crs)
+			frt.crashes.Crashed(crs, frt.cfg.Clock.Now())
 			frt.cfg.OnCrash(crs)
 		}
 	})
--- a/internal/proof/users/users_test.go
+++ b/internal/proof/users/users_test.go
@@ -275,7 +275,7 @@
 	tfl.Store.SetFaults(pstore.Faults{})
 	until(2200 * time.Millisecond)
 	tfl.Configure(3, []string{"/v3/"}, writes)
-	tfl.await(pfleet.ConfigBound+time.Second, "new version active", func() bool {
+	tfl.await(pfleet.ConfigBound, "new version active", func() bool {
 		return tfl.callers.SendTo(t.Context(), tfl.VMs[0].CallerAddress(), "/v3/a", true).Status == 200
 	})
 }
--- a/internal/steer/crash/crash.go
+++ b/internal/steer/crash/crash.go
@@ -27,6 +27,8 @@
 	// them. The time doubles with each crash beyond the limit.
 	Trials     = 3
 	trialDelay = time.Minute
+	// ownTime is how long a crash that this VM has seen counts without its report, which may have lapsed unread. Reports hold as long.
+	ownTime = 10 * time.Minute
 	// maxContents bounds the memory of a Guard. Only contents with known crashes need any.
 	maxContents = 10000
 )
@@ -69,8 +71,8 @@
 
 // content is a content with known crashes.
 type content struct {
-	// own are the crashes that this VM has seen and whose reports it has not read yet.
-	own map[cardamompass.Crash]bool
+	// own are the crashes that this VM has seen and whose reports it has not read yet, with the time when it saw them.
+	own map[cardamompass.Crash]time.Time
 	// cleared are the crashes that don't count, since a target has survived the content after they were known.
 	cleared map[cardamompass.Crash]bool
 	// count is the number of crashes that counted at the last look, since is when it last rose, tried when a request was last let through.
@@ -86,18 +88,18 @@
 }
 
 // Crashed records a crash that this VM has seen.
-func (grd *Guard) Crashed(crs cardamompass.Crash) {
+func (grd *Guard) Crashed(crs cardamompass.Crash, now time.Time) {
 	grd.mu.Lock()
 	defer grd.mu.Unlock()
-	grd.contentOf(crs.Fingerprint).own[crs] = true
+	grd.contentOf(crs.Fingerprint).own[crs] = now
 }
 
 // Survived records that a target has survived a request with the content. reports are the crashes that the VMs have reported about it. The
 // result are the crashes that must be withdrawn, since other VMs refuse the content because of them.
-func (grd *Guard) Survived(fingerprint string, reports []cardamompass.Crash) (withdrawn []cardamompass.Crash) {
+func (grd *Guard) Survived(fingerprint string, reports []cardamompass.Crash, now time.Time) (withdrawn []cardamompass.Crash) {
 	grd.mu.Lock()
 	defer grd.mu.Unlock()
-	con := grd.known(fingerprint, reports)
+	con := grd.known(fingerprint, reports, now)
 	if con == nil {
 		return nil
 	}
@@ -116,7 +118,7 @@
 func (grd *Guard) Refused(fingerprint string, reports []cardamompass.Crash, tries func() bool, now time.Time) (ok bool) {
 	grd.mu.Lock()
 	defer grd.mu.Unlock()
-	con := grd.known(fingerprint, reports)
+	con := grd.known(fingerprint, reports, now)
 	if con == nil {
 		return false
 	}
@@ -136,7 +138,7 @@
 }
 
 // known returns the content, or nil if no crash is known.
-func (grd *Guard) known(fingerprint string, reports []cardamompass.Crash) (con *content) {
+func (grd *Guard) known(fingerprint string, reports []cardamompass.Crash, now time.Time) (con *content) {
 	con = grd.contents[fingerprint]
 	if con == nil && len(reports) == 0 {
 		return nil
@@ -147,6 +149,11 @@
 	for _, crs := range reports {
 		delete(con.own, crs) // from now on it counts as long as the report holds
 	}
+	for crs, seen := range con.own {
+		if now.Sub(seen) > ownTime {
+			delete(con.own, crs)
+		}
+	}
 	if len(reports) == 0 && len(con.own) == 0 {
 		delete(grd.contents, fingerprint)
 		return nil
@@ -166,7 +173,7 @@
 		}
 	}
 	con = &content{
-		own:     make(map[cardamompass.Crash]bool),
+		own:     make(map[cardamompass.Crash]time.Time),
 		cleared: make(map[cardamompass.Crash]bool),
 	}
 	grd.contents[fingerprint] = con
--- a/internal/steer/crash/crash_test.go
+++ b/internal/steer/crash/crash_test.go
@@ -48,7 +48,7 @@
 		t.Run(tst.name, func(t *testing.T) {
 			grd := crash.New()
 			for _, crs := range tst.own {
-				grd.Crashed(crs)
+				grd.Crashed(crs, begin)
 			}
 			if got := grd.Refused(content, tst.reports, nil, begin); got != tst.want {
 				t.Errorf("refused: %v", got)
@@ -60,11 +60,25 @@
 	}
 }
 
+// Guards against content that one VM refuses for good, because the reports of the crashes that it has seen lapsed before it looked at them.
+func TestOwnCrashesEnd(t *testing.T) {
+	grd := crash.New()
+	for _, crs := range reports(crash.Limit) {
+		grd.Crashed(crs, begin)
+	}
+	if !grd.Refused(content, nil, nil, begin.Add(time.Minute)) {
+		t.Error("not refused before the reports are read")
+	}
+	if grd.Refused(content, nil, nil, begin.Add(11*time.Minute)) {
+		t.Error("refused after the reports have lapsed")
+	}
+}
+
 // Guards against an answer that clears content of later crashes, and against content that other VMs go on refusing although a target has
 // survived it.
 func TestSurvived(t *testing.T) {
 	grd, all := crash.New(), reports(2*crash.Limit)
-	if got := grd.Survived(content, all[:2]); len(got) != 0 {
+	if got := grd.Survived(content, all[:2], begin); len(got) != 0 {
 		t.Errorf("withdrawn below the limit: %v", got)
 	}
 	if grd.Refused(content, all[:2+crash.Limit-1], nil, begin) {
@@ -73,7 +87,7 @@
 	if !grd.Refused(content, all[:2+crash.Limit], nil, begin) {
 		t.Error("not refused after crashes behind the answer")
 	}
-	if got := grd.Survived(content, all[:2+crash.Limit]); len(got) != crash.Limit {
+	if got := grd.Survived(content, all[:2+crash.Limit], begin); len(got) != crash.Limit {
 		t.Errorf("withdrawn: %v", got)
 	}
 	if grd.Refused(content, all[:2+crash.Limit], nil, begin) {
--- a/internal/steer/guard/guard.go
+++ b/internal/steer/guard/guard.go
@@ -175,7 +175,8 @@
 }
 
 // Succeeded ends a run with a response that shows that the target has survived the request. Call Ended instead for an error of
-// the target, which may have come before the part of the work that crashes it, and for a shed request, which did not run. The report is empty unless the content was a suspect.
+// the target, which may have come before the part of the work that crashes it, and for a shed request, which did not run. The
+// report is empty unless the content was a suspect.
 func (grd *Guard) Succeeded(key Key, tid cardamompass.TargetID, now time.Time) (rep Report) {
 	grd.mut.Lock()
 	defer grd.mut.Unlock()
