--- a/review/drill/endpoint.go
+++ b/review/drill/endpoint.go
@@ -104,6 +104,9 @@
 func (enp *endpoint) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("Request-Id")
 	wrt.Header().Set("Request-Id", id)
+	if enp.gone.Load() != 0 {
+		wrt.Header().Set("Server-Leaving", "1")
+	}
 	if want := req.Header.Get("Expect-Instance"); want != "" && want != enp.id {
 		wrt.Header().Set("Instance-Id", enp.id)
 		wrt.WriteHeader(http.StatusMisdirectedRequest)
--- a/review/drill/restore.go
+++ b/review/drill/restore.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -58,6 +59,7 @@
 		return 2, err
 	}
 	defer sit.close()
+	sit.sto.resets = os.Getenv("AWAY") == "reset"
 	opr := &operator{
 		rec: rec,
 		sto: sit.sto,
--- a/review/drill/store.go
+++ b/review/drill/store.go
@@ -61,6 +61,7 @@
 	lastLease int64
 	era       int64
 	away      bool
+	resets    bool // calls end with their connection while the store is away, instead of getting no answer
 	changed   chan struct{}
 	// cutAfter returns how long a watch waits before the store cuts it; nil if it cuts none.
 	cutAfter func() time.Duration
@@ -108,7 +109,7 @@
 		away, era := sto.away, sto.era
 		sto.mu.Unlock()
 		if away {
-			silence(req)
+			sto.fail(req)
 		}
 		time.Sleep(4 * time.Millisecond)
 		wrt.Header().Set("Store-Era", strconv.FormatInt(era, 10))
@@ -116,9 +117,11 @@
 	})
 }
 
-// silence leaves a call without an answer until its caller gives up.
-func silence(req *http.Request) {
-	<-req.Context().Done()
+// fail leaves a call without an answer until its caller gives up, or closes its connection at once.
+func (sto *store) fail(req *http.Request) {
+	if !sto.resets {
+		<-req.Context().Done()
+	}
 	panic(http.ErrAbortHandler)
 }
 
@@ -305,7 +308,7 @@
 		sto.mu.Unlock()
 		switch {
 		case lost:
-			silence(req)
+			sto.fail(req)
 		case after > rev:
 			wrt.WriteHeader(http.StatusGone)
 			return
