--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds what the scripts of the cases 11 and 12 start beside the project's own program.
+# Builds what the scripts of the cases 11 to 14 start beside the project's own program.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target
--- a/review/drill/client.go
+++ b/review/drill/client.go
@@ -3,10 +3,12 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -18,12 +20,17 @@
 	status            int
 }
 
+// patience is how long a client waits for an answer, as it states in Timeout-Ms.
+const patience = 3 * time.Second
+
 // clients send requests to each machine.
 type clients struct {
-	sit  *site
-	wtg  sync.WaitGroup
-	mu   sync.Mutex
-	sent []sending
+	sit *site
+	// leave is the time after which the clients leave; patience if it is 0.
+	leave time.Duration
+	wtg   sync.WaitGroup
+	mu    sync.Mutex
+	sent  []sending
 }
 
 // startClients starts clients for each machine, each of which sends requests for a path, with a pause after each, until a time has passed.
@@ -53,7 +60,7 @@
 		path:    path,
 		at:      time.Now(),
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(cls.leave, patience))
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+mch.ip+":8161"+path, nil)
 	if err != nil {
@@ -61,7 +68,7 @@
 	}
 	req.Host = host
 	req.Header.Set("Request-Id", id)
-	req.Header.Set("Timeout-Ms", "3000")
+	req.Header.Set("Timeout-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
 	if rsp, err := clt.Do(req); err == nil {
 		_, _ = io.Copy(io.Discard, rsp.Body)
 		_ = rsp.Body.Close()
--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -21,6 +21,8 @@
 		"restore": restore,
 		"release": release,
 		"stop":    stop,
+		"crash":   crash,
+		"leave":   leave,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: drill CASE RECORD")
--- a/review/drill/store.go
+++ b/review/drill/store.go
@@ -174,14 +174,11 @@
 }
 
 // remove removes an entry as the operator does, or after the end of an endpoint.
-func (sto *store) remove(key string) (rev int64, ok bool) {
+func (sto *store) remove(key string) (rev int64) {
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
-	if sto.away {
-		return 0, false
-	}
 	sto.erase(key)
-	return sto.dat.rev, true
+	return sto.dat.rev
 }
 
 func (sto *store) revision() (rev int64) {
