Review: correct the lost requests of cases 12 and 13

A stand-in endpoint counted requests as run that it read while it crashed, so that more seemed lost than were.

--- a/review/drill/crash.go
+++ b/review/drill/crash.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -119,11 +120,11 @@
 		culprit.send(clt, sit.machines[num%len(sit.machines)], http.MethodGet, fmt.Sprintf("c-%03d", num), crashPath)
 	}
 	others.wait()
-	return sit.judge(culprit, others), nil
+	return sit.judge(culprit, others)
 }
 
 // judge counts the retries that reach endpoints although they were sent later than the stable window after the third crash.
-func (sit *crashSite) judge(culprit, others *clients) (verdict int) {
+func (sit *crashSite) judge(culprit, others *clients) (verdict int, err error) {
 	sit.mu.Lock()
 	crashes := append([]time.Time(nil), sit.crashes...)
 	sit.mu.Unlock()
@@ -149,8 +150,12 @@
 	sit.rec.say("%d endpoints have crashed; %d of %d attempts of the client reach endpoints, %d of them sent later than %s after the third crash (allowed: %d)",
 		len(crashes), reach, len(culprit.sent), late, stableWindow, lateLimit)
 	sit.rec.say("%d of %d requests of others, which are not idempotent, ran and were not answered with success; %d more were not run", lost, len(others.sent), refused)
-	if late > lateLimit {
-		return 1
+	switch {
+	case reach == 0 || lost+refused == len(others.sent):
+		return statusFailed, errors.New("nothing was served")
+	case late > lateLimit:
+		return statusBroken, nil
+	default:
+		return statusHeld, nil
 	}
-	return 0
 }
--- a/review/drill/endpoint.go
+++ b/review/drill/endpoint.go
@@ -135,6 +135,9 @@
 	if _, err := io.ReadAll(req.Body); err != nil {
 		return
 	}
+	if enp.crashed.Load() {
+		panic(http.ErrAbortHandler) // read when the endpoint crashed
+	}
 	enp.running.Add(1)
 	defer enp.running.Add(-1)
 	enp.rec.ran(id, enp)
--- a/review/drill/restore.go
+++ b/review/drill/restore.go
@@ -117,7 +117,7 @@
 	// Far beyond the bounds: the machines are in touch again, and the time that an unstable store adds has passed as well.
 	judged := later(acked.Add(configApply), back.Add(stableWindow)).Add(stretchMax)
 	clt.wait()
-	return judgeVersions(clt, judged), nil
+	return judgeVersions(clt, judged)
 }
 
 func later(one, two time.Time) time.Time {
@@ -128,7 +128,7 @@
 }
 
 // judgeVersions counts the requests sent after a time that an endpoint of the service core has run, to which only older versions send them.
-func judgeVersions(cls *clients, from time.Time) (verdict int) {
+func judgeVersions(cls *clients, from time.Time) (verdict int, err error) {
 	old, all := make(map[string]int), make(map[string]int)
 	for _, snd := range cls.sent {
 		if snd.at.Before(from) {
@@ -146,8 +146,8 @@
 	for _, mch := range cls.sit.machines {
 		cls.sit.rec.say("%s: %d requests run, %d of them by the service of the older versions", mch.name, all[mch.name], old[mch.name])
 		if all[mch.name] == 0 {
-			cls.sit.rec.say("%s served nothing", mch.name)
+			return statusFailed, fmt.Errorf("%s served nothing, so that its version is not known", mch.name)
 		}
 	}
-	return verdict
+	return verdict, nil
 }
