view, platform, node: a store that comes back from a copy begins another era

Cause: a VM continued its watch by the revision alone. Change: positions and leases carry the era of the store (Store-Era). An answer of another era to a watch, a page of a listing or a call about a lease is a lost history or an ended lease, and leads to a new listing or a new lease. After the listing of a copy a VM keeps what it knew beyond it (leaving and removed targets, evacuations, VMs, crashes) until it is written again or 5 s have passed; crash reports and withdrawals of the last minute are made again, those of VMs that ended by one of the others. Ruled out: refusing to go back in revisions alone, since the store is past the former revision when it is asked.

--- a/internal/edge/front/backoff_test.go
+++ b/internal/edge/front/backoff_test.go
@@ -134,7 +134,7 @@
 			ID: cardamompass.InstanceID(fmt.Sprint(num)), Service: service, Region: "r", Address: fmt.Sprint(num), Slots: slots,
 		}})
 	}
-	bal.Sync(view.Empty().WithListing(chs, 1, view.Outage{}, begin), begin)
+	bal.Sync(view.Empty().WithListing(chs, cardamompass.Position{Revision: 1}, view.Outage{}, begin), begin)
 	var calls []call
 	for num := range perSecond * seconds {
 		at := begin.Add(time.Duration(float64(num) / perSecond * float64(time.Second)))
--- a/internal/edge/node/components.go
+++ b/internal/edge/node/components.go
@@ -12,10 +12,11 @@
 	"cardamompass/internal/fleet/cast"
 	"cardamompass/internal/fleet/mirror"
 	"cardamompass/internal/fleet/spread"
+	"cardamompass/internal/fleet/view"
 )
 
 // startFront starts the handler of callers' requests.
-func (nod *Node) startFront(reports *reporter, scp tally.Scope) {
+func (nod *Node) startFront(scp tally.Scope) {
 	cfg := nod.cfg
 	nod.front = startComponent(nod, func() (*front.Front, func()) {
 		return front.New(front.Config{
@@ -36,8 +37,8 @@
 					StartMillis: ins.StartMillis,
 				})
 			},
-			OnCrash:          reports.crashed,
-			OnCrashWithdrawn: reports.withdrawn,
+			OnCrash:          nod.reports.crashed,
+			OnCrashWithdrawn: nod.reports.withdrawn,
 			TriesSuspects:    nod.triesSuspects,
 			Dial:             send.Dialer(targetAckTimeout),
 			Bodies:           nod.requestBodies,
@@ -67,6 +68,16 @@
 	return spread.TopRanked(fingerprint, names, 1)[0] == string(nod.self.ID)
 }
 
+// lostCrashes returns the crashes whose reports a restored store has lost and which this VM, of the running ones, reports again.
+func (nod *Node) lostCrashes(vew *view.View) (list []cardamompass.Crash) {
+	for _, crs := range vew.LostCrashes() {
+		if nod.triesSuspects(crs.Fingerprint) {
+			list = append(list, crs)
+		}
+	}
+	return list
+}
+
 // mayWait reports whether requests for which no target has room may wait. Only teams compete for room by priority and share.
 func (nod *Node) mayWait() (ok bool) {
 	tbl := nod.follower.View().Table
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -82,6 +82,7 @@
 	steering  atomic.Pointer[steer.Settings]          // replaced as a whole
 	follower  *view.Follower
 	presence  *presence
+	reports   *reporter
 	exchanger *cast.Exchanger
 	balancer  *place.Balancer
 	sender    *send.Sender
@@ -149,6 +150,7 @@
 		})
 	})
 	nod.tokens = nod.newTokens(scp)
+	nod.reports = startComponent(nod, func() (*reporter, func()) { return newReporter(cfg) })
 	nod.follower = startComponent(nod, func() (*view.Follower, func()) {
 		return view.New(view.Config{
 			Registry: cfg.Registry,
@@ -169,8 +171,7 @@
 		return nil, nil, err
 	}
 	nod.startMirror()
-	reports := startComponent(nod, func() (*reporter, func()) { return newReporter(cfg) })
-	nod.startFront(reports, scp)
+	nod.startFront(scp)
 	nod.waitForTable()
 	if err = nod.listen(); err != nil {
 		nod.close()
@@ -240,6 +241,9 @@
 	if _, listed := next.VM(nod.self.ID); listed && old.Revision == 0 { // the first listing, before this process has announced itself
 		nod.tokens.SetReturned()
 	}
+	if old.Revision != 0 && next.Era != old.Era {
+		nod.reports.restored(old.Era, nod.lostCrashes(next))
+	}
 	nod.balancer.Sync(next, nod.cfg.Clock.Now())
 	nod.intake.SetLimits(callerLimits(next.Table))
 	nod.announceRoom()
--- a/internal/edge/node/presence.go
+++ b/internal/edge/node/presence.go
@@ -20,7 +20,7 @@
 // presence keeps the VM's entry in the store while the VM serves.
 type presence struct {
 	nod    *Node
-	lease  int64
+	lease  cardamompass.RegistryLease
 	ctx    context.Context //nolint:containedctx // cancels calls in progress when the entry is withdrawn
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -77,7 +77,7 @@
 			}
 			announced = true
 		} else if prs.nod.follower.Check(); errors.As(err, &gone) {
-			prs.lease = 0
+			prs.lease = cardamompass.RegistryLease{}
 			announced = false
 			if prs.ctx.Err() == nil {
 				continue
@@ -96,9 +96,9 @@
 func (prs *presence) logResult(announced bool, err error) {
 	switch {
 	case err != nil && prs.ctx.Err() == nil:
-		prs.nod.cfg.Log.Warn("presence not confirmed", zap.Error(err), zap.Int64("lease", prs.lease))
+		prs.nod.cfg.Log.Warn("presence not confirmed", zap.Error(err), zap.Int64("lease", prs.lease.ID))
 	case err == nil && !announced:
-		prs.nod.cfg.Log.Info("presence announced", zap.Int64("lease", prs.lease))
+		prs.nod.cfg.Log.Info("presence announced", zap.Int64("lease", prs.lease.ID))
 	}
 }
 
@@ -106,7 +106,7 @@
 	if prs.nod.follower.View().Table == nil {
 		return errors.New("no routing table is known yet")
 	}
-	if prs.lease == 0 {
+	if prs.lease.ID == 0 {
 		if prs.lease, err = prs.nod.cfg.Registry.Grant(prs.ctx, max(leaseTTL, prs.nod.Settings().MinLeaseTTL)); err != nil {
 			return err
 		}
@@ -119,7 +119,7 @@
 // withdraw removes the entry from the store.
 func (prs *presence) withdraw(ctx context.Context) {
 	prs.stop()
-	if prs.lease == 0 {
+	if prs.lease.ID == 0 || prs.lease.Era != prs.nod.follower.View().Era { // in another era it may be the lease of another VM
 		return
 	}
 	if err := prs.nod.cfg.Registry.Revoke(ctx, prs.lease); err != nil {
--- a/internal/edge/node/report.go
+++ b/internal/edge/node/report.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"cardamompass"
@@ -18,12 +20,27 @@
 	// reportRetryDelay is the pause after a call that has failed, reportRetryTime the time after which a report is given up.
 	reportRetryDelay = 500 * time.Millisecond
 	reportRetryTime  = time.Minute
+	// reportMemory is how long a report is remembered that the store has taken, to be made again if the store comes back from a copy without
+	// it. Copies are some seconds old.
+	reportMemory = time.Minute
 )
 
 // reporter reports crashes to the other VMs through the store.
 type reporter struct {
 	cfg   Config
 	queue chan crashReport
+
+	mu sync.Mutex
+	// made holds the last report about each crash that the store has taken within reportMemory, past the eras of the store that are over.
+	made map[cardamompass.Crash]madeReport
+	past map[string]bool
+}
+
+// madeReport is a report that the store has taken.
+type madeReport struct {
+	crp crashReport
+	era string
+	at  time.Time
 }
 
 // crashReport is a crash to report, or to withdraw.
@@ -37,6 +54,8 @@
 	rpt = &reporter{
 		cfg:   cfg,
 		queue: make(chan crashReport, maxQueuedReports),
+		made:  make(map[cardamompass.Crash]madeReport),
+		past:  make(map[string]bool),
 	}
 	done := make(chan struct{})
 	go func() {
@@ -64,6 +83,28 @@
 	})
 }
 
+// restored queues reports again after the store has come back from a copy, which ended an era: those that it took in that era, and lost ones,
+// which are crashes that other VMs have reported. It does not block.
+func (rpt *reporter) restored(ended string, lost []cardamompass.Crash) {
+	again := make(map[cardamompass.Crash]crashReport)
+	for _, crs := range lost {
+		again[crs] = crashReport{
+			crs: crs,
+		}
+	}
+	rpt.mu.Lock()
+	rpt.past[ended] = true
+	for crs, mrp := range rpt.made {
+		if rpt.past[mrp.era] {
+			again[crs] = mrp.crp
+		}
+	}
+	rpt.mu.Unlock()
+	for _, crp := range again {
+		rpt.enqueue(crp)
+	}
+}
+
 func (rpt *reporter) enqueue(crp crashReport) {
 	select {
 	case rpt.queue <- crp:
@@ -90,7 +131,10 @@
 // report makes a report, again and again while the store does not take it.
 func (rpt *reporter) report(ctx context.Context, crp crashReport) {
 	for end := rpt.cfg.Clock.Now().Add(reportRetryTime); ; {
-		err := rpt.try(ctx, crp)
+		era, err := rpt.try(ctx, crp)
+		if err == nil && !rpt.remember(crp, era) {
+			err = errors.New("the store has come back from a copy since")
+		}
 		if err == nil || ctx.Err() != nil {
 			return
 		}
@@ -103,13 +147,32 @@
 	}
 }
 
-func (rpt *reporter) try(ctx context.Context, crp crashReport) (err error) {
+// remember records a report that the store has taken. It returns false if the era in which that was is over by now.
+func (rpt *reporter) remember(crp crashReport, era string) (ok bool) {
+	now := rpt.cfg.Clock.Now()
+	rpt.mu.Lock()
+	defer rpt.mu.Unlock()
+	for crs, mrp := range rpt.made {
+		if now.Sub(mrp.at) > reportMemory {
+			delete(rpt.made, crs)
+		}
+	}
+	rpt.made[crp.crs] = madeReport{
+		crp: crp,
+		era: era,
+		at:  now,
+	}
+	return !rpt.past[era]
+}
+
+// try makes a report once and returns the era in which the store has taken it.
+func (rpt *reporter) try(ctx context.Context, crp crashReport) (era string, err error) {
 	if crp.withdraw {
 		return rpt.cfg.Registry.WithdrawCrash(ctx, crp.crs)
 	}
-	lease, err := rpt.cfg.Registry.Grant(ctx, crashTTL)
+	lse, err := rpt.cfg.Registry.Grant(ctx, crashTTL)
 	if err != nil {
-		return err
+		return "", err
 	}
-	return rpt.cfg.Registry.ReportCrash(ctx, crp.crs, lease)
+	return rpt.cfg.Registry.ReportCrash(ctx, crp.crs, lse)
 }
--- a/internal/edge/node/report_test.go
+++ b/internal/edge/node/report_test.go
@@ -47,7 +47,7 @@
 				Dial:    send.Dialer(time.Second),
 			})
 			t.Cleanup(closeReg)
-			crashed, withdrawn, stop := node.NewReporter(node.Config{
+			crashed, withdrawn, _, stop := node.NewReporter(node.Config{
 				Registry: reg,
 				Clock:    cardamompass.SystemClock{},
 				Log:      zap.NewNop(),
@@ -78,3 +78,44 @@
 		}
 	}
 }
+
+// Guards against crash reports and withdrawals that a store loses when it comes back from a copy: the content would crash targets again, or
+// stay refused. A report of another VM that has ended since is made again as well.
+func TestCrashReportsAfterRestore(t *testing.T) {
+	sto, stopStore, err := pstore.New("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stopStore)
+	reg, closeReg := platform.NewRegistry(platform.RegistryConfig{
+		Address: sto.Address(),
+		Dial:    send.Dialer(time.Second),
+	})
+	t.Cleanup(closeReg)
+	crashed, withdrawn, restored, stop := node.NewReporter(node.Config{
+		Registry: reg,
+		Clock:    cardamompass.SystemClock{},
+		Log:      zap.NewNop(),
+	})
+	t.Cleanup(stop)
+	crash := func(instance cardamompass.InstanceID) cardamompass.Crash {
+		return cardamompass.Crash{
+			Fingerprint: "00ff",
+			Instance:    instance,
+			StartMillis: 100,
+		}
+	}
+	has := func(key string) func() bool { return func() bool { return sto.LeaseLeft(key) > sendTime } }
+	crashed(crash("i-1"))
+	await(t, "report", has("crash/00ff/i-1/100"))
+	saved := sto.Copy()
+	crashed(crash("i-2"))
+	await(t, "report", has("crash/00ff/i-2/100"))
+	withdrawn(crash("i-1"))
+	await(t, "withdrawal", func() bool { return !has("crash/00ff/i-1/100")() })
+	sto.Restore(saved)
+	restored("1", []cardamompass.Crash{crash("i-3")})
+	await(t, "second report", has("crash/00ff/i-2/100"))
+	await(t, "report in place of another VM", has("crash/00ff/i-3/100"))
+	await(t, "second withdrawal", func() bool { return !has("crash/00ff/i-1/100")() })
+}
--- a/internal/fleet/view/follow.go
+++ b/internal/fleet/view/follow.go
@@ -149,10 +149,10 @@
 }
 
 type fetchResult struct {
-	chs      []cardamompass.Change
-	revision int64
-	listing  bool
-	err      error
+	chs     []cardamompass.Change
+	at      cardamompass.Position
+	listing bool
+	err     error
 }
 
 func (flw *Follower) run(ctx context.Context) {
@@ -199,11 +199,12 @@
 	if flw.outage.Ongoing {
 		return
 	}
-	next, gone := flw.View().WithoutMissing(flw.cfg.Clock.Now())
+	vew := flw.View()
+	next, gone := vew.WithoutMissing(flw.cfg.Clock.Now())
 	for _, id := range gone {
 		flw.cfg.Log.Info("target gone", zap.String("instance", string(id)), zap.String("reason", "did not register again"))
 	}
-	if len(gone) > 0 {
+	if next = next.WithoutDoubts(flw.cfg.Clock.Now()); next != vew {
 		flw.publish(next)
 	}
 }
@@ -211,7 +212,7 @@
 func (flw *Follower) fetch(ctx context.Context) (fre fetchResult) {
 	if !flw.listed {
 		fre.listing = true
-		fre.chs, fre.revision, fre.err = flw.cfg.Registry.List(ctx, listPatience, func() {
+		fre.chs, fre.at, fre.err = flw.cfg.Registry.List(ctx, listPatience, func() {
 			select {
 			case flw.unanswered <- struct{}{}:
 			case <-ctx.Done():
@@ -230,7 +231,7 @@
 		defer flw.giveUp.Store(nil)
 		flw.cfg.OnLongWatch()
 	}
-	fre.chs, fre.revision, fre.err = flw.cfg.Registry.Watch(ctx, flw.View().Revision, wait, func(chs []cardamompass.Change) {
+	fre.chs, fre.at, fre.err = flw.cfg.Registry.Watch(ctx, flw.View().Position(), wait, func(chs []cardamompass.Change) {
 		if len(chs) == 0 {
 			return
 		}
@@ -253,7 +254,7 @@
 	var lost *cardamompass.HistoryLostError
 	if errors.As(fre.err, &lost) {
 		flw.recordResponse(flw.View().Revision)
-		flw.cfg.Log.Warn("store history lost", zap.Int64("after", lost.After), zap.NamedError("reason", lost.Err))
+		flw.cfg.Log.Warn("store history lost", zap.Int64("after", lost.After.Revision), zap.String("era", lost.After.Era), zap.NamedError("reason", lost.Err))
 		flw.listed = false
 		return
 	}
@@ -261,17 +262,17 @@
 		flw.recordFailure(ctx, fre.err)
 		return
 	}
-	now := flw.recordResponse(fre.revision)
-	if !fre.listing && len(fre.chs) == 0 && fre.revision == flw.View().Revision {
+	now := flw.recordResponse(fre.at.Revision)
+	if !fre.listing && len(fre.chs) == 0 && fre.at.Revision == flw.View().Revision {
 		return
 	}
 	flw.logChanges(fre.chs)
 	if fre.listing {
 		flw.listed = true
-		flw.publish(flw.View().WithListing(fre.chs, fre.revision, flw.outage, now))
+		flw.publish(flw.viewAfterListing(fre, now))
 		return
 	}
-	flw.publish(flw.View().WithChanges(fre.chs, fre.revision, flw.outage, now))
+	flw.publish(flw.View().WithChanges(fre.chs, fre.at.Revision, flw.outage, now))
 	if len(fre.chs) >= fullResponse {
 		return
 	}
@@ -282,6 +283,20 @@
 	_ = cardamompass.Sleep(ctx, flw.cfg.Clock, pause) // run notices the end of ctx
 }
 
+// viewAfterListing returns the view after a listing.
+func (flw *Follower) viewAfterListing(fre fetchResult, now time.Time) (next *View) {
+	vew := flw.View()
+	otherEra := vew.Revision > 0 && fre.at.Era != vew.Era
+	if otherEra {
+		flw.cfg.Log.Warn("store restored from a copy", zap.String("era", fre.at.Era), zap.Int64("revision", fre.at.Revision),
+			zap.String("era-before", vew.Era), zap.Int64("revision-before", vew.Revision))
+	}
+	if otherEra || vew.InDoubt() {
+		return vew.WithRestored(fre.chs, fre.at, flw.outage, now)
+	}
+	return vew.WithListing(fre.chs, fre.at, flw.outage, now)
+}
+
 // recordResponse records that the store answered, which ends an outage, and returns the current time.
 func (flw *Follower) recordResponse(revision int64) (now time.Time) {
 	now = flw.cfg.Clock.Now()
--- a/internal/fleet/view/purge_test.go
+++ b/internal/fleet/view/purge_test.go
@@ -19,19 +19,19 @@
 	calls atomic.Int64
 }
 
-func (reg *busyRegistry) List(context.Context, time.Duration, func()) (chs []cardamompass.Change, revision int64, err error) {
-	return []cardamompass.Change{instance("i-1"), instance("i-2")}, 1, nil
+func (reg *busyRegistry) List(context.Context, time.Duration, func()) (chs []cardamompass.Change, at cardamompass.Position, err error) {
+	return []cardamompass.Change{instance("i-1"), instance("i-2")}, cardamompass.Position{Revision: 1}, nil
 }
 
-func (reg *busyRegistry) Watch(context.Context, int64, time.Duration, func([]cardamompass.Change)) (chs []cardamompass.Change, next int64, err error) {
+func (reg *busyRegistry) Watch(context.Context, cardamompass.Position, time.Duration, func([]cardamompass.Change)) (chs []cardamompass.Change, next cardamompass.Position, err error) {
 	switch num := reg.calls.Add(1); num {
 	case 1:
-		return nil, 0, errors.New("unavailable")
+		return nil, cardamompass.Position{}, errors.New("unavailable")
 	case 2:
-		return []cardamompass.Change{gone("i-1")}, 2, nil
+		return []cardamompass.Change{gone("i-1")}, cardamompass.Position{Revision: 2}, nil
 	default:
 		time.Sleep(10 * time.Millisecond)
-		return []cardamompass.Change{instance("i-2")}, num, nil
+		return []cardamompass.Change{instance("i-2")}, cardamompass.Position{Revision: num}, nil
 	}
 }
 
@@ -44,26 +44,26 @@
 
 const slowListing = view.ReregisterTime - 300*time.Millisecond
 
-func (reg *compactedRegistry) List(context.Context, time.Duration, func()) (chs []cardamompass.Change, revision int64, err error) {
+func (reg *compactedRegistry) List(context.Context, time.Duration, func()) (chs []cardamompass.Change, at cardamompass.Position, err error) {
 	if reg.lists.Add(1) == 1 {
-		return []cardamompass.Change{instance("i-1"), instance("i-2")}, 1, nil
+		return []cardamompass.Change{instance("i-1"), instance("i-2")}, cardamompass.Position{Revision: 1}, nil
 	}
 	time.Sleep(slowListing)
-	return []cardamompass.Change{instance("i-2")}, 2, nil
+	return []cardamompass.Change{instance("i-2")}, cardamompass.Position{Revision: 2}, nil
 }
 
-func (reg *compactedRegistry) Watch(context.Context, int64, time.Duration, func([]cardamompass.Change)) (chs []cardamompass.Change, next int64, err error) {
+func (reg *compactedRegistry) Watch(context.Context, cardamompass.Position, time.Duration, func([]cardamompass.Change)) (chs []cardamompass.Change, next cardamompass.Position, err error) {
 	switch reg.watches.Add(1) {
 	case 1:
-		return nil, 0, errors.New("unavailable")
+		return nil, cardamompass.Position{}, errors.New("unavailable")
 	case 2:
 		reg.answered.Store(time.Now().UnixNano())
-		return nil, 0, &cardamompass.HistoryLostError{
+		return nil, cardamompass.Position{}, &cardamompass.HistoryLostError{
 			Err: errors.New("discarded"),
 		}
 	default:
 		time.Sleep(10 * time.Millisecond)
-		return nil, 2, nil
+		return nil, cardamompass.Position{Revision: 2}, nil
 	}
 }
 
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -3,6 +3,9 @@
 // A View is an immutable snapshot: the routing table, the registered instances of targets, the evacuated failure domains, the
 // running VMs and the crashes of targets. A Follower lists the store, watches it and publishes a new View after each
 // change. The version of the routing table in a process never decreases.
+//
+// A store that comes back from a copy has lost its latest changes, and those who made them write them again. Until they have had the time to
+// do so, a View keeps what it knew; see WithRestored.
 package view
 
 import (
@@ -31,14 +34,17 @@
 type View struct {
 	// Table is the routing table, nil until one is known.
 	Table *cardamompass.RoutingTable
-	// Revision is the store's revision up to which changes are applied.
+	// Revision is the store's revision up to which changes are applied, Era the era to which it belongs.
 	Revision int64
+	Era      string
 
 	instances    map[cardamompass.InstanceID]cardamompass.Instance
 	missingUntil map[cardamompass.InstanceID]time.Time // instances without an entry, kept until this time
 	evacuated    map[cardamompass.FailureDomain]bool
 	vms          map[cardamompass.VMID]cardamompass.VM
 	crashes      map[cardamompass.Crash]bool
+	removed      map[cardamompass.InstanceID]removal // instances whose entries were removed within removalMemory
+	doubts       *doubts                             // nil unless the store has come back from a copy a short time ago; never modified
 	crashesOf    map[string][]cardamompass.Crash // by fingerprint
 	byService    map[cardamompass.ServiceName][]cardamompass.Instance
 	sortedVMs    []cardamompass.VM // vms sorted by id
@@ -47,6 +53,14 @@
 // Empty returns an empty View.
 func Empty() (vew *View) { return &View{} }
 
+// Position returns the position of the store up to which changes are applied.
+func (vew *View) Position() (pos cardamompass.Position) {
+	return cardamompass.Position{
+		Era:      vew.Era,
+		Revision: vew.Revision,
+	}
+}
+
 // Instances returns the registered instances of a service, sorted by id. Callers must not modify the result.
 func (vew *View) Instances(svc cardamompass.ServiceName) (list []cardamompass.Instance) {
 	return vew.byService[svc]
@@ -90,6 +104,8 @@
 func (vew *View) WithChanges(chs []cardamompass.Change, revision int64, out Outage, now time.Time) (next *View) {
 	next = vew.clone()
 	next.Revision = revision
+	next.forgetRemovals(now)
+	next.doubts = vew.doubts.settled(chs)
 	for _, chg := range chs {
 		next.apply(chg, out, now)
 	}
@@ -99,9 +115,11 @@
 
 // WithListing returns the view after a full listing of the store. Entries that the listing does not contain are removed, except
 // the routing table.
-func (vew *View) WithListing(chs []cardamompass.Change, revision int64, out Outage, now time.Time) (next *View) {
+func (vew *View) WithListing(
+	chs []cardamompass.Change, at cardamompass.Position, out Outage, now time.Time,
+) (next *View) {
 	next = vew.clone()
-	next.Revision = revision
+	next.Revision, next.Era = at.Revision, at.Era
 	next.evacuated = make(map[cardamompass.FailureDomain]bool)
 	next.vms = make(map[cardamompass.VMID]cardamompass.VM)
 	next.crashes = make(map[cardamompass.Crash]bool)
@@ -133,6 +151,7 @@
 	}
 	next = vew.clone()
 	for _, id := range gone {
+		next.recordRemoval(next.instances[id], now)
 		delete(next.instances, id)
 		delete(next.missingUntil, id)
 	}
@@ -144,11 +163,14 @@
 	next = &View{
 		Table:        vew.Table,
 		Revision:     vew.Revision,
+		Era:          vew.Era,
 		instances:    maps.Clone(vew.instances),
 		missingUntil: maps.Clone(vew.missingUntil),
 		evacuated:    maps.Clone(vew.evacuated),
 		vms:          maps.Clone(vew.vms),
 		crashes:      maps.Clone(vew.crashes),
+		removed:      maps.Clone(vew.removed),
+		doubts:       vew.doubts,
 	}
 	if next.instances == nil {
 		next.instances = make(map[cardamompass.InstanceID]cardamompass.Instance)
@@ -156,6 +178,7 @@
 		next.evacuated = make(map[cardamompass.FailureDomain]bool)
 		next.vms = make(map[cardamompass.VMID]cardamompass.VM)
 		next.crashes = make(map[cardamompass.Crash]bool)
+		next.removed = make(map[cardamompass.InstanceID]removal)
 	}
 	return next
 }
@@ -169,6 +192,7 @@
 	case chg.Instance != nil:
 		vew.instances[chg.Instance.ID] = *chg.Instance
 		delete(vew.missingUntil, chg.Instance.ID)
+		delete(vew.removed, chg.Instance.ID)
 	case chg.InstanceRemoved != "" && chg.Rejected != nil:
 		delete(vew.instances, chg.InstanceRemoved)
 		delete(vew.missingUntil, chg.InstanceRemoved)
@@ -198,6 +222,7 @@
 	}
 	mayReregister := out.Ongoing || (!out.Ended.IsZero() && now.Before(out.Ended.Add(ReregisterTime)))
 	if ins.Leaving || !mayReregister {
+		vew.recordRemoval(ins, now)
 		delete(vew.instances, id)
 		delete(vew.missingUntil, id)
 		return
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -36,10 +36,10 @@
 
 // Guards against a VM that reverts to an older routing table, from a delayed change or a listing.
 func TestTableNeverGoesBack(t *testing.T) {
-	vew := view.Empty().WithListing([]cardamompass.Change{table(7)}, 5, view.Outage{}, start)
+	vew := view.Empty().WithListing([]cardamompass.Change{table(7)}, cardamompass.Position{Revision: 5}, view.Outage{}, start)
 	vew = vew.WithChanges([]cardamompass.Change{table(3)}, 6, view.Outage{}, start)
-	vew = vew.WithListing([]cardamompass.Change{table(5)}, 7, view.Outage{}, start)
-	vew = vew.WithListing(nil, 8, view.Outage{}, start)
+	vew = vew.WithListing([]cardamompass.Change{table(5)}, cardamompass.Position{Revision: 7}, view.Outage{}, start)
+	vew = vew.WithListing(nil, cardamompass.Position{Revision: 8}, view.Outage{}, start)
 	if vew.Table.Version != 7 {
 		t.Fatalf("version %d, want 7", vew.Table.Version)
 	}
@@ -85,7 +85,7 @@
 		Ongoing: true,
 	}
 	vew := view.Empty().WithChanges([]cardamompass.Change{instance("i-1")}, 1, view.Outage{}, start)
-	vew = vew.WithListing(nil, 2, outage, start)
+	vew = vew.WithListing(nil, cardamompass.Position{Revision: 2}, outage, start)
 	vew = vew.WithChanges([]cardamompass.Change{instance("i-1")}, 3, view.Outage{Ended: start}, start)
 	vew, lost := vew.WithoutMissing(start.Add(time.Minute))
 	if len(lost) > 0 || len(vew.Instances("svc")) != 1 {
@@ -115,7 +115,7 @@
 		t.Fatal("changes were not applied")
 	}
 	old := vew
-	vew = vew.WithListing(nil, 2, view.Outage{}, start)
+	vew = vew.WithListing(nil, cardamompass.Position{Revision: 2}, view.Outage{}, start)
 	if vew.Evacuated("z-1") || len(vew.VMs()) != 0 || vew.Crashes("c-1") != 0 {
 		t.Fatal("entries that the listing does not contain were kept")
 	}
--- a/internal/stand/pstore/handlers.go
+++ b/internal/stand/pstore/handlers.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -66,13 +67,19 @@
 			return
 		}
 	}
+	era := wrt.Header().Get("Store-Era")
 	for timedOut := false; ; {
 		sto.mu.Lock()
 		if sto.faults.Outage {
 			sto.mu.Unlock()
 			ctrl.Abort()
 		}
-		if after < sto.compactedRev {
+		if era != strconv.FormatInt(sto.era, 10) { // the store came back from a copy
+			sto.mu.Unlock()
+			<-req.Context().Done()
+			ctrl.Abort()
+		}
+		if after < sto.compactedRev || after > sto.rev {
 			sto.mu.Unlock()
 			wrt.WriteHeader(http.StatusGone)
 			return
--- a/internal/stand/pstore/pstore.go
+++ b/internal/stand/pstore/pstore.go
@@ -2,11 +2,12 @@
 // range reads, watches, conditional transactions and leases.
 //
 // SetFaults injects faults: an outage, calls without a reply, refusals for some callers, lost replies to writes and slow replies.
-// Compact discards the history.
+// Compact discards the history. Copy and Restore play a store that comes back from a copy.
 package pstore
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -75,6 +76,7 @@
 	history      []event
 	leases       map[int64]*lease
 	lastLeaseID  int64
+	era          int64
 	faults       Faults
 	changed      chan struct{}
 	address      string
@@ -89,6 +91,7 @@
 		items:       make(map[string]item),
 		leases:      make(map[int64]*lease),
 		lastLeaseID: 100,
+		era:         1,
 		changed:     make(chan struct{}),
 	}
 	rtr := mux.NewRouter()
@@ -177,6 +180,57 @@
 	sto.notify()
 }
 
+// Copy is a copy of what a Store holds.
+type Copy struct {
+	rev, compactedRev, lastLeaseID int64
+	items                          map[string]item
+	history                        []event
+	leases                         map[int64]lease
+}
+
+// Copy returns a copy of what the store holds.
+func (sto *Store) Copy() (cop Copy) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	cop = Copy{
+		rev:          sto.rev,
+		compactedRev: sto.compactedRev,
+		lastLeaseID:  sto.lastLeaseID,
+		items:        maps.Clone(sto.items),
+		history:      slices.Clone(sto.history),
+		leases:       make(map[int64]lease),
+	}
+	for id, lse := range sto.leases {
+		cop.leases[id] = *lse
+	}
+	return cop
+}
+
+// Restore replaces what the store holds by a copy and begins another era. All written since the copy is lost, and revisions and ids of leases
+// are given out again. Calls that are waiting never get a reply. Leases run from now on as if they had just been renewed.
+func (sto *Store) Restore(cop Copy) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	sto.rev, sto.compactedRev, sto.lastLeaseID = cop.rev, cop.compactedRev, cop.lastLeaseID
+	sto.items, sto.history = maps.Clone(cop.items), slices.Clone(cop.history)
+	sto.leases = make(map[int64]*lease)
+	for id, lse := range cop.leases {
+		sto.leases[id] = &lease{
+			ttl:       lse.ttl,
+			expiresAt: time.Now().Add(lse.ttl),
+		}
+	}
+	sto.era++
+	sto.notify()
+}
+
+// Revision returns the current revision.
+func (sto *Store) Revision() (rev int64) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	return sto.rev
+}
+
 func (sto *Store) write(key string, data []byte, leaseID int64) {
 	sto.rev++
 	itm := item{
@@ -259,7 +313,9 @@
 	return http.HandlerFunc(func(wrt http.ResponseWriter, req *http.Request) {
 		sto.mu.Lock()
 		flt := sto.faults
+		era := sto.era
 		sto.mu.Unlock()
+		wrt.Header().Set("Store-Era", strconv.FormatInt(era, 10))
 		host, _, _ := net.SplitHostPort(req.RemoteAddr)
 		switch {
 		case flt.Outage:
--- a/internal/steer/hedge/model_test.go
+++ b/internal/steer/hedge/model_test.go
@@ -131,7 +131,7 @@
 			},
 		})
 	}
-	vew := view.Empty().WithListing(chs, 1, view.Outage{}, start)
+	vew := view.Empty().WithListing(chs, cardamompass.Position{Revision: 1}, view.Outage{}, start)
 	for range modelVMs {
 		vm := &modelVM{
 			balancer: place.New(place.Config{Self: "vm", Region: "a"}),
--- a/internal/steer/place/place_test.go
+++ b/internal/steer/place/place_test.go
@@ -76,7 +76,7 @@
 }
 
 func (flt *fleet) view() (vew *view.View) {
-	return view.Empty().WithListing(flt.changes, 1, view.Outage{}, start)
+	return view.Empty().WithListing(flt.changes, cardamompass.Position{Revision: 1}, view.Outage{}, start)
 }
 
 func newBoard(num int) (bal *place.Balancer) {
--- a/internal/steer/place/standing_test.go
+++ b/internal/steer/place/standing_test.go
@@ -28,7 +28,7 @@
 			Leaving:       leaving,
 			StartMillis:   millis,
 		},
-	}}, 1, view.Outage{}, start)
+	}}, cardamompass.Position{Revision: 1}, view.Outage{}, start)
 }
 
 // Guards against requests to a target that has stated that it is leaving or that it wants none, and against one that is left out
--- a/internal/steer/wait/model_test.go
+++ b/internal/steer/wait/model_test.go
@@ -129,7 +129,7 @@
 			bal: place.New(place.Config{Self: "vm", Region: "r"}), que: wait.New(wait.Config{MaxRequests: 256, MaxBytes: 16 << 20}),
 			median: objective / 2, waiters: make(map[*wait.Item]*call),
 		}
-		vmc.bal.Sync(view.Empty().WithListing(chs, 1, view.Outage{}, mdl.now), mdl.now)
+		vmc.bal.Sync(view.Empty().WithListing(chs, cardamompass.Position{Revision: 1}, view.Outage{}, mdl.now), mdl.now)
 		mdl.vms = append(mdl.vms, vmc)
 		mdl.poll(vmc)
 	}
