intake, pipe, node: a stopping VM answers the requests that have arrived

Cause: http.Server.Shutdown closes the listener, which resets the connections in its queue, and closes connections that net/http counts as idle although a request has arrived that it has not read yet. On a VM with 0.16 of a core that takes some hundred milliseconds. Change: Intake.Shutdown comes first. Listeners accept what waits in their queue and close then; a connection is ended only while nothing has arrived on it, by its read deadline, so that bytes that a read has just got are not lost. Pipe.Shutdown leaves connections alone on which a request waits to be read.

--- a/internal/edge/intake/conn.go
+++ b/internal/edge/intake/conn.go
@@ -141,6 +141,7 @@
 		con.applyDeadline(lim)
 	case inHeader:
 		con.headerBytes += num
+		con.applyDeadline(lim) // endIdle may have changed it
 	case inRequest:
 	}
 	wat = con.noteAhead(data, single)
--- a/internal/edge/intake/intake.go
+++ b/internal/edge/intake/intake.go
@@ -36,6 +36,7 @@
 	mu     sync.Mutex
 	limits cardamompass.CallerLimits
 	conns  map[*conn]struct{}
+	lsns   map[*listener]struct{}
 }
 
 // New returns an Intake without connections.
@@ -44,6 +45,7 @@
 		cfg:    cfg,
 		limits: cfg.Limits,
 		conns:  make(map[*conn]struct{}),
+		lsns:   make(map[*listener]struct{}),
 	}
 }
 
@@ -86,10 +88,9 @@
 	srv.Handler = handler(srv.Handler)
 	srv.ConnContext = connContext(srv.ConnContext)
 	srv.ConnState = connState
-	return srv.Serve(&listener{
-		Listener: lsn,
-		itk:      itk,
-	})
+	acc := itk.newListener(lsn)
+	defer itk.removeListener(acc)
+	return srv.Serve(acc)
 }
 
 // connKey is the context key of a connection.
@@ -135,33 +136,6 @@
 	}
 }
 
-// listener adds the connections that it accepts to an Intake.
-type listener struct {
-	net.Listener
-	itk *Intake
-}
-
-// Accept implements net.Listener.
-func (lsn *listener) Accept() (con net.Conn, err error) {
-	con, err = lsn.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	tcp, ok := con.(*net.TCPConn)
-	if !ok {
-		return con, nil
-	}
-	cnn := &conn{
-		TCPConn: tcp,
-		itk:     lsn.itk,
-	}
-	lsn.itk.mu.Lock()
-	lsn.itk.conns[cnn] = struct{}{}
-	lsn.itk.mu.Unlock()
-	cnn.begin(inHeader)
-	return cnn, nil
-}
-
 func (itk *Intake) remove(con *conn) {
 	itk.mu.Lock()
 	defer itk.mu.Unlock()
--- a/internal/edge/node/stop.go
+++ b/internal/edge/node/stop.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
 
@@ -59,9 +61,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	var all sync.WaitGroup
-	for _, srv := range nod.servers {
-		all.Go(func() { nod.shutdownServer(ctx, srv) })
-	}
+	all.Go(func() {
+		if err := nod.intake.Shutdown(ctx); err != nil {
+			nod.cfg.Log.Warn("connections in use at the end of the grace time", zap.Error(err))
+		}
+		for _, srv := range nod.servers {
+			all.Go(func() { nod.shutdownServer(ctx, srv) })
+		}
+	})
 	all.Go(func() {
 		if err := nod.pipe.Shutdown(ctx); err != nil {
 			nod.cfg.Log.Warn("pipelined connections closed at the end of the grace time", zap.Error(err))
@@ -71,7 +78,7 @@
 }
 
 func (nod *Node) shutdownServer(ctx context.Context, srv *http.Server) {
-	if err := srv.Shutdown(ctx); err != nil {
+	if err := srv.Shutdown(ctx); err != nil && !errors.Is(err, net.ErrClosed) { // the listener is closed already
 		nod.cfg.Log.Warn("connections closed at the end of the grace time", zap.Error(err))
 	}
 }
--- a/internal/edge/pipe/loop.go
+++ b/internal/edge/pipe/loop.go
@@ -103,6 +103,17 @@
 	}
 }
 
+// finish makes the connection end like stop, but not before a request is answered that has arrived and was not read yet. Its response closes
+// the connection, since the VM stops.
+func (lop *loop) finish(reason string) {
+	lop.mu.Lock()
+	waiting := len(lop.queue) == 0 && !lop.closing && sock.Peek(lop.con) == sock.DataPending
+	lop.mu.Unlock()
+	if !waiting {
+		lop.stop(reason)
+	}
+}
+
 // read reads and dispatches requests until the connection ends.
 func (lop *loop) read() {
 	defer close(lop.readEnd)
--- a/internal/edge/pipe/pipe.go
+++ b/internal/edge/pipe/pipe.go
@@ -31,6 +31,8 @@
 	defaultMaxVMRequests = 1024
 	defaultMaxVMBytes    = 4 << 20
 	defaultWriteTimeout  = 20 * time.Second
+	// endInterval is the interval at which connections that are to end are checked again.
+	endInterval = 20 * time.Millisecond
 )
 
 // Config configures a Pipe.
@@ -249,10 +251,10 @@
 	}
 }
 
-// Shutdown closes idle connections, and the others when their requests are answered. It waits until all are closed or ctx ends. No
+// Shutdown closes idle connections on which nothing has arrived, and the others when their requests are answered. It waits until all are closed or ctx ends. No
 // connection is taken over any more; those of net/http are shut down by http.Server.Shutdown.
 func (pip *Pipe) Shutdown(ctx context.Context) (err error) {
-	return pip.endAll(ctx, func(lop *loop) { lop.stop("the VM stops") })
+	return pip.endAll(ctx, func(lop *loop) { lop.finish("the VM stops") })
 }
 
 // close closes all connections. Handlers that can't be cancelled may go on, as with http.Server.Close.
@@ -260,8 +262,10 @@
 	_ = pip.endAll(context.Background(), func(lop *loop) { lop.abort("closed") }) // the context does not end
 }
 
-// endAll calls end with each loop and waits until there is none.
+// endAll calls end with each loop, again and again until there is none.
 func (pip *Pipe) endAll(ctx context.Context, end func(lop *loop)) (err error) {
+	tck := time.NewTicker(endInterval)
+	defer tck.Stop()
 	for {
 		pip.mu.Lock()
 		pip.stopping = true
@@ -275,6 +279,7 @@
 		}
 		select {
 		case <-changed:
+		case <-tck.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -45,7 +45,7 @@
 	crashes      map[cardamompass.Crash]bool
 	removed      map[cardamompass.InstanceID]removal // instances whose entries were removed within removalMemory
 	doubts       *doubts                             // nil unless the store has come back from a copy a short time ago; never modified
-	crashesOf    map[string][]cardamompass.Crash // by fingerprint
+	crashesOf    map[string][]cardamompass.Crash     // by fingerprint
 	byService    map[cardamompass.ServiceName][]cardamompass.Instance
 	sortedVMs    []cardamompass.VM // vms sorted by id
 }
