front, crash: a crash counts at any moment of a request, also after its caller has left

Cause: a crash was looked for only if a connection broke before the head of an answer, and only by the result of an attempt. An attempt whose caller has left is cancelled, so that its connection shows nothing of what its target does afterwards. Change: a broken connection or an invalid response at any moment is followed by the check of the target's address. Content whose attempt was given up, by its caller or at its deadline, is suspected until half a second after the deadline if the target crashes; an idle connection, which the next request uses, shows that. Targets that leave are not checked. Attempts that another target's answer has ended don't count. Evidence: front TestCrashAtAnyMoment (5 of 8 cases) and TestCrashOfAbandonedRequest (4 of 4) failed before.

--- a/internal/edge/front/dispatch.go
+++ b/internal/edge/front/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -44,6 +45,8 @@
 	results  chan *attempt
 	ended    chan struct{} // closed when no more results are received
 	hedging  hedging
+	// answered is set at the end if a target has answered.
+	answered atomic.Bool
 	// tokenAt is when the token of a quota was taken that the request holds, zero if it holds none; tokenTeam is the team that it was taken
 	// from. The team of the request may change with the table.
 	tokenAt   time.Time
@@ -125,6 +128,7 @@
 
 // end cancels the attempts in flight and releases what is not needed for the result.
 func (dsp *dispatch) end(inFlight map[*attempt]bool, err error) {
+	dsp.answered.Store(err == nil)
 	close(dsp.ended)
 	if len(inFlight) == 0 { // an attempt that is cancelled may reach its target
 		dsp.returnToken()
@@ -209,6 +213,7 @@
 		defer cancel()
 		atm.rep, atm.err = frt.cfg.Sender.Do(sctx, chc.Instance, msg)
 		frt.reportAttempt(dsp.affinityHash, atm)
+		dsp.noteEnd(atm)
 		dsp.recordLatency(atm, second)
 		select {
 		case dsp.results <- atm:
@@ -291,9 +296,6 @@
 	}
 	dsp.sent++
 	dsp.mayHaveRun = dsp.mayHaveRun || !fai.NotRun
-	if fai.Kind == send.KindBroken && !fai.HeaderReceived {
-		dsp.exc.frt.checkCrash(atm.chc.Instance, dsp.fingerprint)
-	}
 	return false
 }
 
--- a/internal/edge/front/front.go
+++ b/internal/edge/front/front.go
@@ -96,7 +96,9 @@
 	splits      map[string]*split
 	medians     map[string]time.Duration // estimated median latency by host and prefix of the route
 	crashes     *crash.Guard
+	abandoned   *crash.Abandoned
 	crashChecks sync.WaitGroup
+	closed      bool // no further crashChecks
 	hedges      *hedges
 }
 
@@ -118,17 +120,26 @@
 		cfg.Bodies = buffer.New(buffer.Config{})
 	}
 	frt = &Front{
-		cfg:     cfg,
-		met:     newMetrics(cfg.Scope),
-		budgets: make(map[cardamompass.ServiceName]*budget.Budget),
-		splits:  make(map[string]*split),
-		medians: make(map[string]time.Duration),
-		crashes: crash.New(),
-		hedges:  newHedges(),
+		cfg:       cfg,
+		met:       newMetrics(cfg.Scope),
+		budgets:   make(map[cardamompass.ServiceName]*budget.Budget),
+		splits:    make(map[string]*split),
+		medians:   make(map[string]time.Duration),
+		crashes:   crash.New(),
+		abandoned: crash.NewAbandoned(),
+		hedges:    newHedges(),
 	}
 	frt.waits = newWaitRoom(frt)
+	stop := make(chan struct{})
+	var watching sync.WaitGroup
+	watching.Go(func() { frt.watchAbandoned(stop) })
 	return frt, func() {
 		frt.waits.close()
+		close(stop)
+		watching.Wait()
+		frt.mu.Lock()
+		frt.closed = true
+		frt.mu.Unlock()
 		frt.crashChecks.Wait()
 	}
 }
--- a/internal/edge/send/pool.go
+++ b/internal/edge/send/pool.go
@@ -32,6 +32,29 @@
 	if limit <= 0 || ctx.Err() != nil {
 		return nil, notSent(kindAfter(ctx, KindTimeout), errors.New("no time left to connect"))
 	}
+	return snd.open(ctx, ins, limit)
+}
+
+// Check returns nil if an idle connection to an instance still holds. If there is none, it opens one, which is kept for the next request. The
+// error is a *Failure: KindBroken means that the instance has closed the idle connection, which it may do at any time, KindRefused that nothing
+// listens at its address.
+func (snd *Sender) Check(ctx context.Context, ins cardamompass.Instance) (err error) {
+	con := snd.takeIdle(ins.ID, false)
+	if con == nil {
+		if con, err = snd.open(ctx, ins, dialTimeout); err != nil {
+			return err
+		}
+	}
+	if sock.Peek(con.socket) != sock.NoData {
+		_ = con.Close()
+		return notSent(KindBroken, errors.New("the idle connection was closed"))
+	}
+	snd.putIdle(ins.ID, con)
+	return nil
+}
+
+// open opens a connection within a time limit.
+func (snd *Sender) open(ctx context.Context, ins cardamompass.Instance, limit time.Duration) (con *conn, err error) {
 	dctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	raw, err := snd.cfg.Dial(dctx, "tcp", ins.Address)
