intake: plain listener of a stop, interrupted calls are repeated

An Accept4 that is interrupted, or whose connection has ended in the queue, ended the drain of the queue. The channel that nothing read is gone. TestShutdownAnswersWhatHasArrived and the tests of the package passed five times with the race detector.

--- a/internal/edge/intake/shutdown.go
+++ b/internal/edge/intake/shutdown.go
@@ -82,20 +82,16 @@
 // listener adds the connections that it accepts to an Intake.
 type listener struct {
 	net.Listener
-	itk      *Intake
-	stopping chan struct{} // closed when only the connections in the queue are accepted any more
-	drained  chan struct{} // closed when the queue is empty and the listener closed
-	closed   chan struct{}
-	stop     sync.Once
-	end      sync.Once
-	shut     sync.Once
+	itk *Intake
+	// drained is closed when the queue is empty and no further connections are accepted, closed when the server has closed the listener.
+	drained, closed         chan struct{}
+	drainedOnce, closedOnce sync.Once
 }
 
 func (itk *Intake) newListener(lsn net.Listener) (acc *listener) {
 	acc = &listener{
 		Listener: lsn,
 		itk:      itk,
-		stopping: make(chan struct{}),
 		drained:  make(chan struct{}),
 		closed:   make(chan struct{}),
 	}
@@ -114,19 +110,16 @@
 
 // drain makes Accept return the connections in the queue and then close the listener.
 func (lsn *listener) drain() {
-	lsn.stop.Do(func() {
-		close(lsn.stopping)
-		if tcp, ok := lsn.Listener.(*net.TCPListener); ok {
-			_ = tcp.SetDeadline(time.Unix(1, 0)) // ends Accept
-		}
-	})
+	if tcp, ok := lsn.Listener.(*net.TCPListener); ok {
+		_ = tcp.SetDeadline(time.Unix(1, 0)) // ends Accept; fails only on a closed listener
+	}
 }
 
-func (lsn *listener) endDrain() { lsn.end.Do(func() { close(lsn.drained) }) }
+func (lsn *listener) endDrain() { lsn.drainedOnce.Do(func() { close(lsn.drained) }) }
 
 // Close implements net.Listener.
 func (lsn *listener) Close() (err error) {
-	lsn.shut.Do(func() { close(lsn.closed) })
+	lsn.closedOnce.Do(func() { close(lsn.closed) })
 	return lsn.Listener.Close()
 }
 
@@ -177,7 +170,12 @@
 	}
 	accepted, aerr := 0, error(nil)
 	err = raw.Control(func(fd uintptr) {
-		accepted, _, aerr = syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		for {
+			accepted, _, aerr = syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			if !errors.Is(aerr, syscall.EINTR) && !errors.Is(aerr, syscall.ECONNABORTED) {
+				return
+			}
+		}
 	})
 	if err != nil {
 		return nil, err
