--- a/internal/edge/pipe/pipe.go
+++ b/internal/edge/pipe/pipe.go
@@ -251,8 +251,8 @@
 	}
 }
 
-// Shutdown closes idle connections on which nothing has arrived, and the others when their requests are answered. It waits until all are closed or ctx ends. No
-// connection is taken over any more; those of net/http are shut down by http.Server.Shutdown.
+// Shutdown closes idle connections on which nothing has arrived, and the others when their requests are answered. It waits until all are
+// closed or ctx ends. No connection is taken over any more; those of net/http are shut down by http.Server.Shutdown.
 func (pip *Pipe) Shutdown(ctx context.Context) (err error) {
 	return pip.endAll(ctx, func(lop *loop) { lop.finish("the VM stops") })
 }
